--- a/src/bin/basalthaven-benchlink/host.rs
+++ b/src/bin/garnettally-benchlink/host.rs
@@ -1,7 +1,7 @@
 //! The instances of one process, each with its own names and its own [`Balancer`].
 
 use crate::wire::{self, In, Out};
-use basalthaven::*;
+use garnettally::*;
 use rustc_hash::{FxHashMap, FxHasher};
 use std::hash::{Hash, Hasher};
 
--- a/src/bin/basalthaven-benchlink/main.rs
+++ b/src/bin/garnettally-benchlink/main.rs
@@ -11,7 +11,7 @@
     match run(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("basalthaven-benchlink: {message}");
+            eprintln!("garnettally-benchlink: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,10 @@
-//! basalthaven makes the decisions of a load balancer for services that call services.
+//! garnettally makes the decisions of a load balancer for services that call services.
 //!
 //! [`Balancer`] is one caller's balancer. It does no I/O and reads no clock: it is handed
 //! [`Event`]s with the time they happened and answers with [`Action`]s. See `docs/design.md`.
 //!
 //! ```
-//! use basalthaven::*;
+//! use garnettally::*;
 //!
 //! let class = Class { aim: Micros(500_000), ..Class::default() };
 //! let settings = Settings { classes: vec![class], ..Settings::default() };
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(script: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_basalthaven-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_garnettally-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,6 +1,6 @@
 //! One small test for each failure found; each fails when its defence is taken out.
 
-use basalthaven::*;
+use garnettally::*;
 
 struct Bench {
     b: Balancer,
