--- a/src/bin/garnettally-benchlink/host.rs
+++ b/src/bin/garnettally-benchlink/host.rs
@@ -1,20 +1,9 @@
 //! The instances of one process, each with its own names and its own [`Balancer`].
 
 use crate::wire::{self, In, Out};
+use garnettally::config::{key, Listing, Names, Site};
 use garnettally::*;
-use rustc_hash::{FxHashMap, FxHasher};
-use std::hash::{Hash, Hasher};
-
-/// An entry of a numbered list, kept until its number is taken over.
-struct Listing {
-    name: String,
-    zone: Option<String>,
-    kind: Option<String>,
-    cell: i64,
-    state: Listed,
-    units: f64,
-    since: Option<Micros>,
-}
+use rustc_hash::FxHashMap;
 
 /// A request's name on the wire, and when it can be forgotten.
 struct Open {
@@ -26,12 +15,7 @@
 
 struct Instance {
     balancer: Balancer,
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    servers: FxHashMap<String, ServerId>,
-    server_names: Vec<String>,
+    names: Names,
     ids: FxHashMap<String, u64>,
     open: FxHashMap<u64, Open>,
     next_id: u64,
@@ -64,7 +48,7 @@
             }
             In::Census(c) => self.census(c)?,
             In::Boot(b) => {
-                let instance = Instance::new(&b, self.now()?);
+                let instance = Instance::new(&b, self.now()?)?;
                 self.instances.insert(b.balancer, instance);
             }
             In::Retire(r) => {
@@ -177,7 +161,7 @@
             let list = list.ok_or_else(|| format!("list {:?} was never given", a.set_id))?;
             let instance = self.instances.get_mut(&a.balancer);
             let instance = instance.ok_or_else(|| format!("balancer {} was never booted", a.balancer))?;
-            news.extend(list.iter().map(|l| instance.entry(l)));
+            news.extend(list.iter().map(|l| instance.names.news(l)));
         }
         self.event(a.balancer, now, Event::List { form, entries: &news })?;
         self.news = news;
@@ -211,81 +195,15 @@
 }
 
 impl Instance {
-    fn new(b: &wire::Boot<'_>, now: Micros) -> Instance {
-        let f = &b.facts;
-        let base = Settings::default();
-        let mut zones: Vec<String> = f.azs.iter().map(|z| z.to_string()).collect();
-        let mut kinds: Vec<String> = f.kinds.iter().map(|k| k.to_string()).collect();
-        let ids = |names: &Option<Vec<_>>, known: &mut Vec<String>| {
-            names.iter().flatten().map(|n: &std::borrow::Cow<'_, str>| dense(known, n)).collect()
-        };
-        let classes = f.grades.iter().map(|g| Class {
-            aim: Micros(g.slo_us),
-            aim_stretch: g.aim_stretch.unwrap_or(0.0),
-            deadline: Micros(g.hard_limit_us),
-            effect: effect(g),
-            worth: g.worth.unwrap_or(1.0),
-            late_worth: g.late_worth.unwrap_or(0.0),
-            only_kinds: ids(&g.bound_to, &mut kinds),
-            only_zones: ids(&g.stays_in, &mut zones),
-            keep_order: g.keep_order.unwrap_or(false),
-        });
-        let classes: Vec<Class> = classes.collect();
-        let settings = Settings {
-            instances: f.n_instances,
-            tier: f.tier,
-            me: f.me,
-            resolution: f.resolution_us.map_or(base.resolution, Micros),
-            idle_close: f.limits.idle_close_us.map_or(base.idle_close, Micros),
-            crossing_price: f.tariffs.cross_zone.unwrap_or(0.0),
-            zone: dense(&mut zones, &f.az),
-            classes,
-            tenant_quota: f.realms.iter().map(|r| r.quota_rps.unwrap_or(f64::INFINITY)).collect(),
-            over_share_worth: f.over_share_worth.unwrap_or(1.0),
-            worth_by_work: f.worth_by == "work",
-            must_ask: f.registry_mode == "on_request",
-            ask_within: f.contract.ask_within_us.map_or(base.ask_within, Micros),
-            units_tell_size: f.weight_kind != "none",
-            parallel_tries: f.limits.parallel_tries,
-            may_cancel: f.limits.may_cancel,
-            max_attempts: f.limits.send_cap.unwrap_or(base.max_attempts),
-            retry_after: f.limits.retry_after,
-            max_retry_after: f.limits.max_retry_after_us.map_or(base.max_retry_after, Micros),
-            cold_share: f.contract.cold_share.unwrap_or(base.cold_share),
-            ramp_time: f.contract.ramp_time_us.map_or(base.ramp_time, Micros),
-            tip_after: f.contract.tip_after_us.map_or(base.tip_after, Micros),
-            key_rest: f.contract.key_rest_us.map_or(base.key_rest, Micros),
-            drain_binds_alone: f.contract.drain_binds_alone.unwrap_or(false),
-        };
-        Instance {
-            balancer: Balancer::new(settings, b.random_seed, now),
-            classes: f.grades.iter().map(|g| g.name.to_string()).collect(),
-            tenants: f.realms.iter().map(|r| r.name.to_string()).collect(),
-            zones,
-            kinds,
-            servers: FxHashMap::default(),
-            server_names: Vec::new(),
+    fn new(b: &wire::Boot<'_>, now: Micros) -> Result<Instance, String> {
+        let site = Site::new(&b.facts)?;
+        Ok(Instance {
+            balancer: Balancer::new(site.settings, b.random_seed, now),
+            names: site.names,
             ids: FxHashMap::default(),
             open: FxHashMap::default(),
             next_id: 0,
-        }
-    }
-
-    fn entry(&mut self, l: &Listing) -> ServerNews {
-        let server = match self.servers.get(&l.name) {
-            Some(&id) => id,
-            None => {
-                let id = ServerId(self.server_names.len() as u32);
-                self.server_names.push(l.name.clone());
-                self.servers.insert(l.name.clone(), id);
-                id
-            }
-        };
-        // Without a zone or kind it is open to no class that is bound to some.
-        let zone = l.zone.as_deref().map_or(u32::MAX, |z| dense(&mut self.zones, z));
-        let kind = l.kind.as_deref().map_or(u32::MAX, |k| dense(&mut self.kinds, k));
-        let key = hash(&l.name);
-        ServerNews { server, zone, kind, cell: l.cell, key, state: l.state, units: l.units, since: l.since }
+        })
     }
 
     fn knock(&mut self, k: &wire::Knock<'_>) -> Event<'static> {
@@ -294,16 +212,16 @@
         self.ids.insert(k.tid.to_string(), id);
         self.open.insert(id, Open { tid: k.tid.to_string(), sends: 0, out: Vec::new(), over: false });
         // A class outside the settings gets a number that no class has, and the module answers it.
-        let class = self.classes.iter().position(|c| *c == k.grade).unwrap_or(usize::MAX);
+        let class = self.names.class(&k.grade).unwrap_or(ClassId(u32::MAX));
         let tenant = match &k.billing {
-            Some(wire::Name::Text(name)) => self.tenants.iter().position(|t| t == name),
+            Some(wire::Name::Text(name)) => self.names.tenant(name),
             _ => None,
         };
         let flags = k.flags.unwrap_or(0);
         Event::Request(NewRequest {
             id: RequestId(id),
-            class: ClassId(u32::try_from(class).unwrap_or(u32::MAX)),
-            tenant: tenant.map(|t| TenantId(t as u32)),
+            class,
+            tenant,
             expires: Micros(k.expires_us),
             hint: k.expected_us.filter(|_| flags & 1 != 0).map(Micros),
             repeat: flags & 2 != 0,
@@ -328,7 +246,7 @@
 
     fn write(&mut self, balancer: u64, action: &Action, reply: &mut Vec<u8>) {
         let tid = |id: &RequestId| self.open.get(&id.0).map_or("", |o| &o.tid);
-        let name = |s: &ServerId| self.server_names[s.0 as usize].as_str();
+        let name = |s: &ServerId| self.names.server(*s);
         let out = match action {
             Action::Send { id, server, timeout } => Out::SubmitTo {
                 balancer,
@@ -364,41 +282,6 @@
     reply.push(b'\n');
 }
 
-fn hash(text: &str) -> u64 {
-    let mut hasher = FxHasher::default();
-    text.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// The number that a key's 16 hex digits write; of another text its hash.
-fn key(text: &str) -> KeyId {
-    KeyId(u64::from_str_radix(text, 16).unwrap_or_else(|_| hash(text)))
-}
-
-/// The place of a name among those met.
-fn dense(known: &mut Vec<String>, name: &str) -> u32 {
-    let at = known.iter().position(|k| k == name).unwrap_or_else(|| {
-        known.push(name.to_string());
-        known.len() - 1
-    });
-    at as u32
-}
-
-fn effect(g: &wire::Grade<'_>) -> Effect {
-    match &*g.semantics {
-        "safe" => Effect::Safe,
-        "keyed" => Effect::Keyed {
-            group: match g.key_scope.as_deref() {
-                Some("all") => Group::All,
-                Some("zone") => Group::Zone,
-                _ => Group::Cell,
-            },
-            window: Micros(g.window_us.unwrap_or(0)),
-        },
-        _ => Effect::Unsafe,
-    }
-}
-
 fn code(n: u8) -> Result<Code, String> {
     Ok(match n {
         1 => Code::Ok,
--- a/src/bin/garnettally-benchlink/wire.rs
+++ b/src/bin/garnettally-benchlink/wire.rs
@@ -1,5 +1,6 @@
 //! The messages of the wire, as they are read and written.
 
+use garnettally::config::Facts;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
@@ -75,122 +76,6 @@
     pub facts: Facts<'a>,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase", default)]
-pub struct Facts<'a> {
-    #[serde(borrow)]
-    pub az: Cow<'a, str>,
-    #[serde(borrow)]
-    pub azs: Vec<Cow<'a, str>>,
-    pub contract: Contract,
-    #[serde(borrow)]
-    pub grades: Vec<Grade<'a>>,
-    pub limits: Limits,
-    pub n_instances: u32,
-    pub me: u32,
-    #[serde(borrow)]
-    pub kinds: Vec<Cow<'a, str>>,
-    pub resolution_us: Option<i64>,
-    pub tariffs: Tariffs,
-    pub tier: u32,
-    pub over_share_worth: Option<f64>,
-    #[serde(borrow)]
-    pub realms: Vec<Realm<'a>>,
-    #[serde(borrow)]
-    pub registry_mode: Cow<'a, str>,
-    #[serde(borrow)]
-    pub weight_kind: Cow<'a, str>,
-    #[serde(borrow)]
-    pub worth_by: Cow<'a, str>,
-}
-
-impl Default for Facts<'_> {
-    fn default() -> Self {
-        Facts {
-            az: "".into(),
-            azs: Vec::new(),
-            contract: Contract::default(),
-            grades: Vec::new(),
-            limits: Limits::default(),
-            n_instances: 1,
-            me: 0,
-            kinds: Vec::new(),
-            resolution_us: None,
-            tariffs: Tariffs::default(),
-            tier: 0,
-            over_share_worth: None,
-            realms: Vec::new(),
-            registry_mode: "pushed".into(),
-            weight_kind: "none".into(),
-            worth_by: "request".into(),
-        }
-    }
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-pub struct Contract {
-    pub ask_within_us: Option<i64>,
-    pub cold_share: Option<f64>,
-    pub ramp_time_us: Option<i64>,
-    pub tip_after_us: Option<i64>,
-    pub key_rest_us: Option<i64>,
-    pub drain_binds_alone: Option<bool>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-pub struct Grade<'a> {
-    #[serde(borrow)]
-    pub name: Cow<'a, str>,
-    pub slo_us: i64,
-    pub hard_limit_us: i64,
-    #[serde(borrow)]
-    pub semantics: Cow<'a, str>,
-    #[serde(borrow, default)]
-    pub key_scope: Option<Cow<'a, str>>,
-    #[serde(default)]
-    pub window_us: Option<i64>,
-    #[serde(default)]
-    pub worth: Option<f64>,
-    #[serde(default)]
-    pub late_worth: Option<f64>,
-    #[serde(default)]
-    pub aim_stretch: Option<f64>,
-    #[serde(borrow, default)]
-    pub bound_to: Option<Vec<Cow<'a, str>>>,
-    #[serde(borrow, default)]
-    pub stays_in: Option<Vec<Cow<'a, str>>>,
-    #[serde(default)]
-    pub keep_order: Option<bool>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-pub struct Tariffs {
-    pub cross_zone: Option<f64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "PascalCase", default)]
-pub struct Limits {
-    pub idle_close_us: Option<i64>,
-    pub may_cancel: bool,
-    pub parallel_tries: bool,
-    pub retry_after: bool,
-    pub max_retry_after_us: Option<i64>,
-    pub send_cap: Option<u32>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-pub struct Realm<'a> {
-    #[serde(borrow)]
-    pub name: Cow<'a, str>,
-    #[serde(default)]
-    pub quota_rps: Option<f64>,
-}
-
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub struct Announce {
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,490 @@
+//! Configuration: the environment, the settings and the host lists, decoded once into the few values that
+//! the program uses. Whatever is wrong with them is said here, with the name of the key.
+
+use crate::interface::*;
+use rustc_hash::{FxHashMap, FxHasher};
+use serde::Deserialize;
+use std::borrow::Cow;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+
+/// The settings as they are written, with their names and units.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub struct Facts<'a> {
+    #[serde(borrow)]
+    pub(crate) az: Cow<'a, str>,
+    #[serde(borrow)]
+    pub(crate) azs: Vec<Cow<'a, str>>,
+    pub(crate) contract: Contract,
+    #[serde(borrow)]
+    pub(crate) grades: Vec<Grade<'a>>,
+    pub(crate) limits: Allowed,
+    pub(crate) n_instances: u32,
+    pub(crate) me: u32,
+    #[serde(borrow)]
+    pub(crate) kinds: Vec<Cow<'a, str>>,
+    pub(crate) resolution_us: Option<i64>,
+    pub(crate) tariffs: Tariffs,
+    pub(crate) tier: u32,
+    pub(crate) over_share_worth: Option<f64>,
+    #[serde(borrow)]
+    pub(crate) realms: Vec<Realm<'a>>,
+    #[serde(borrow)]
+    pub(crate) registry_mode: Cow<'a, str>,
+    #[serde(borrow)]
+    pub(crate) weight_kind: Cow<'a, str>,
+    #[serde(borrow)]
+    pub(crate) worth_by: Cow<'a, str>,
+}
+
+impl Default for Facts<'_> {
+    fn default() -> Self {
+        Facts {
+            az: "".into(),
+            azs: Vec::new(),
+            contract: Contract::default(),
+            grades: Vec::new(),
+            limits: Allowed::default(),
+            n_instances: 1,
+            me: 0,
+            kinds: Vec::new(),
+            resolution_us: None,
+            tariffs: Tariffs::default(),
+            tier: 0,
+            over_share_worth: None,
+            realms: Vec::new(),
+            registry_mode: "pushed".into(),
+            weight_kind: "none".into(),
+            worth_by: "request".into(),
+        }
+    }
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+pub(crate) struct Contract {
+    pub(crate) ask_within_us: Option<i64>,
+    pub(crate) cold_share: Option<f64>,
+    pub(crate) ramp_time_us: Option<i64>,
+    pub(crate) tip_after_us: Option<i64>,
+    pub(crate) key_rest_us: Option<i64>,
+    pub(crate) drain_binds_alone: Option<bool>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct Grade<'a> {
+    #[serde(borrow)]
+    pub(crate) name: Cow<'a, str>,
+    pub(crate) slo_us: i64,
+    pub(crate) hard_limit_us: i64,
+    #[serde(borrow)]
+    pub(crate) semantics: Cow<'a, str>,
+    #[serde(borrow, default)]
+    pub(crate) key_scope: Option<Cow<'a, str>>,
+    #[serde(default)]
+    pub(crate) window_us: Option<i64>,
+    #[serde(default)]
+    pub(crate) worth: Option<f64>,
+    #[serde(default)]
+    pub(crate) late_worth: Option<f64>,
+    #[serde(default)]
+    pub(crate) aim_stretch: Option<f64>,
+    #[serde(borrow, default)]
+    pub(crate) bound_to: Option<Vec<Cow<'a, str>>>,
+    #[serde(borrow, default)]
+    pub(crate) stays_in: Option<Vec<Cow<'a, str>>>,
+    #[serde(default)]
+    pub(crate) keep_order: Option<bool>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+pub(crate) struct Tariffs {
+    pub(crate) cross_zone: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+pub(crate) struct Allowed {
+    pub(crate) idle_close_us: Option<i64>,
+    pub(crate) may_cancel: bool,
+    pub(crate) parallel_tries: bool,
+    pub(crate) retry_after: bool,
+    pub(crate) max_retry_after_us: Option<i64>,
+    pub(crate) send_cap: Option<u32>,
+    pub(crate) dial_timeout_us: Option<i64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(crate) struct Realm<'a> {
+    #[serde(borrow)]
+    pub(crate) name: Cow<'a, str>,
+    #[serde(default)]
+    pub(crate) quota_rps: Option<f64>,
+}
+
+/// The settings of a site: the module's, and the names that they and the lists use.
+pub struct Site {
+    /// What the module is given.
+    pub settings: Settings,
+    /// The numbers of the names.
+    pub names: Names,
+}
+
+/// The names that a site uses, each with its dense number.
+#[derive(Default)]
+pub struct Names {
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    servers: FxHashMap<String, ServerId>,
+    server_names: Vec<String>,
+}
+
+/// One entry of a host list.
+pub struct Listing {
+    /// The server's name.
+    pub name: String,
+    /// Its zone.
+    pub zone: Option<String>,
+    /// Its machine kind.
+    pub kind: Option<String>,
+    /// Its cell.
+    pub cell: i64,
+    /// Its state.
+    pub state: Listed,
+    /// Its size.
+    pub units: f64,
+    /// When it last started; `None`: long ago.
+    pub since: Option<Micros>,
+}
+
+impl Site {
+    /// Checks the settings and turns them into the module's; the message names the key at fault.
+    pub fn new(f: &Facts<'_>) -> Result<Site, String> {
+        check(f)?;
+        let base = Settings::default();
+        let mut zones: Vec<String> = f.azs.iter().map(|z| z.to_string()).collect();
+        let mut kinds: Vec<String> = f.kinds.iter().map(|k| k.to_string()).collect();
+        let ids = |names: &Option<Vec<Cow<'_, str>>>, known: &mut Vec<String>| {
+            names.iter().flatten().map(|n| dense(known, n)).collect()
+        };
+        let classes = f.grades.iter().map(|g| Class {
+            aim: Micros(g.slo_us),
+            aim_stretch: g.aim_stretch.unwrap_or(0.0),
+            deadline: Micros(g.hard_limit_us),
+            effect: effect(g),
+            worth: g.worth.unwrap_or(1.0),
+            late_worth: g.late_worth.unwrap_or(0.0),
+            only_kinds: ids(&g.bound_to, &mut kinds),
+            only_zones: ids(&g.stays_in, &mut zones),
+            keep_order: g.keep_order.unwrap_or(false),
+        });
+        let classes: Vec<Class> = classes.collect();
+        let settings = Settings {
+            instances: f.n_instances,
+            tier: f.tier,
+            me: f.me,
+            resolution: f.resolution_us.map_or(base.resolution, Micros),
+            idle_close: f.limits.idle_close_us.map_or(base.idle_close, Micros),
+            crossing_price: f.tariffs.cross_zone.unwrap_or(0.0),
+            zone: dense(&mut zones, &f.az),
+            classes,
+            tenant_quota: f.realms.iter().map(|r| r.quota_rps.unwrap_or(f64::INFINITY)).collect(),
+            over_share_worth: f.over_share_worth.unwrap_or(1.0),
+            worth_by_work: f.worth_by == "work",
+            must_ask: f.registry_mode == "on_request",
+            ask_within: f.contract.ask_within_us.map_or(base.ask_within, Micros),
+            units_tell_size: f.weight_kind != "none",
+            parallel_tries: f.limits.parallel_tries,
+            may_cancel: f.limits.may_cancel,
+            max_attempts: f.limits.send_cap.unwrap_or(base.max_attempts),
+            retry_after: f.limits.retry_after,
+            max_retry_after: f.limits.max_retry_after_us.map_or(base.max_retry_after, Micros),
+            cold_share: f.contract.cold_share.unwrap_or(base.cold_share),
+            ramp_time: f.contract.ramp_time_us.map_or(base.ramp_time, Micros),
+            tip_after: f.contract.tip_after_us.map_or(base.tip_after, Micros),
+            key_rest: f.contract.key_rest_us.map_or(base.key_rest, Micros),
+            drain_binds_alone: f.contract.drain_binds_alone.unwrap_or(false),
+        };
+        let names = Names {
+            classes: f.grades.iter().map(|g| g.name.to_string()).collect(),
+            tenants: f.realms.iter().map(|r| r.name.to_string()).collect(),
+            zones,
+            kinds,
+            ..Names::default()
+        };
+        Ok(Site { settings, names })
+    }
+}
+
+/// What decoding alone does not find.
+fn check(f: &Facts<'_>) -> Result<(), String> {
+    let wrong = |key: String, what: &str| Err(format!("settings.{key}: {what}"));
+    if f.n_instances == 0 {
+        return wrong("NInstances".into(), "must be 1 or more");
+    }
+    if f.resolution_us.is_some_and(|r| r < 0) {
+        return wrong("ResolutionUs".into(), "must not be negative");
+    }
+    for (i, g) in f.grades.iter().enumerate() {
+        if g.name.is_empty() {
+            return wrong(format!("Grades[{i}].Name"), "must not be empty");
+        }
+        if g.slo_us <= 0 {
+            return wrong(format!("Grades[{i}].SloUs"), "must be above 0");
+        }
+        if g.hard_limit_us < g.slo_us {
+            return wrong(format!("Grades[{i}].HardLimitUs"), "must not be below SloUs");
+        }
+        if !matches!(&*g.semantics, "safe" | "keyed" | "unsafe") {
+            return wrong(format!("Grades[{i}].Semantics"), "must be safe, keyed or unsafe");
+        }
+    }
+    Ok(())
+}
+
+impl Names {
+    /// The class of this name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        self.classes.iter().position(|c| c == name).map(|at| ClassId(at as u32))
+    }
+
+    /// The tenant of this name.
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        self.tenants.iter().position(|t| t == name).map(|at| TenantId(at as u32))
+    }
+
+    /// The name of a server that [`Names::news`] has met.
+    pub fn server(&self, id: ServerId) -> &str {
+        self.server_names.get(id.0 as usize).map_or("", String::as_str)
+    }
+
+    /// The number of a server that [`Names::news`] has met.
+    pub fn server_id(&self, name: &str) -> Option<ServerId> {
+        self.servers.get(name).copied()
+    }
+
+    /// A list's entry as the module takes it.
+    pub fn news(&mut self, l: &Listing) -> ServerNews {
+        let server = match self.servers.get(&l.name) {
+            Some(&id) => id,
+            None => {
+                let id = ServerId(self.server_names.len() as u32);
+                self.server_names.push(l.name.clone());
+                self.servers.insert(l.name.clone(), id);
+                id
+            }
+        };
+        // Without a zone or kind it is open to no class that is bound to some.
+        let zone = l.zone.as_deref().map_or(u32::MAX, |z| dense(&mut self.zones, z));
+        let kind = l.kind.as_deref().map_or(u32::MAX, |k| dense(&mut self.kinds, k));
+        let key = hash(&l.name);
+        ServerNews { server, zone, kind, cell: l.cell, key, state: l.state, units: l.units, since: l.since }
+    }
+}
+
+/// A host list as discovery writes it.
+pub struct HostList {
+    /// Its version.
+    pub seq: u64,
+    /// The whole list, or else what changed.
+    pub whole: bool,
+    /// Each entry with the address to dial.
+    pub hosts: Vec<(Listing, Option<SocketAddr>)>,
+}
+
+#[derive(Deserialize)]
+struct RawList<'a> {
+    seq: u64,
+    whole: bool,
+    #[serde(borrow)]
+    hosts: Vec<RawHost<'a>>,
+}
+
+#[derive(Deserialize)]
+struct RawHost<'a> {
+    #[serde(borrow)]
+    host: Cow<'a, str>,
+    #[serde(borrow, default)]
+    dial: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    site: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    class: Option<Cow<'a, str>>,
+    #[serde(default)]
+    block: Option<i64>,
+    #[serde(borrow)]
+    health: Cow<'a, str>,
+    #[serde(default)]
+    share: Option<f64>,
+    #[serde(default)]
+    born_ms: Option<i64>,
+}
+
+impl HostList {
+    /// Decodes one list.
+    pub fn decode(json: &[u8]) -> Result<HostList, String> {
+        HostList::new(from_json(json)?)
+    }
+
+    fn new(raw: RawList<'_>) -> Result<HostList, String> {
+        let mut hosts = Vec::with_capacity(raw.hosts.len());
+        for (i, h) in raw.hosts.into_iter().enumerate() {
+            let state = match &*h.health {
+                "SERVING" => Listed::Ready,
+                "DRAINING" => Listed::Draining,
+                "DELETED" => Listed::Gone,
+                other => return Err(format!("hosts[{i}].health: unknown state {other:?}")),
+            };
+            let dial = h.dial.as_deref().map(str::parse::<SocketAddr>);
+            let dial = match (dial, state) {
+                (Some(Ok(addr)), _) => Some(addr),
+                (_, Listed::Gone) => None,
+                _ => return Err(format!("hosts[{i}].dial: not an address with a port")),
+            };
+            let listing = Listing {
+                name: h.host.into_owned(),
+                zone: h.site.map(Cow::into_owned),
+                kind: h.class.map(Cow::into_owned),
+                cell: h.block.unwrap_or(0),
+                state,
+                units: h.share.unwrap_or(1.0),
+                since: h.born_ms.filter(|&t| t != 0).map(|t| Micros(t.saturating_mul(1000))),
+            };
+            hosts.push((listing, dial));
+        }
+        Ok(HostList { seq: raw.seq, whole: raw.whole, hosts })
+    }
+}
+
+/// All that one balancer is told at its start.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list as this balancer last had it.
+    pub known: HostList,
+    /// The module's settings.
+    pub site: Site,
+    /// How long a connection to an upstream may take.
+    pub dial_timeout: Option<Micros>,
+}
+
+#[derive(Deserialize)]
+struct RawConfig<'a> {
+    #[serde(borrow, default)]
+    name: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    listen: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    discovery: Option<Cow<'a, str>>,
+    #[serde(borrow)]
+    seed: Cow<'a, str>,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(borrow, default)]
+    known: Option<RawList<'a>>,
+    #[serde(borrow)]
+    settings: Facts<'a>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawLimits {
+    sockets: Option<usize>,
+}
+
+impl Config {
+    /// Reads the environment and the file that it names.
+    pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let path = var("GW_CONFIG").ok_or("GW_CONFIG: not set; it names the configuration file")?;
+        let text = std::fs::read(&path).map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
+        let raw: RawConfig<'_> = from_json(&text).map_err(|e| format!("{path}: {e}"))?;
+        // The environment goes before the file.
+        let either = |env: &str, key: &str, value: &Option<Cow<'_, str>>| {
+            let value = var(env).or_else(|| value.as_deref().map(str::to_string));
+            value.filter(|v| !v.is_empty()).ok_or_else(|| format!("{env}: not set, and {path} has no {key}"))
+        };
+        let address = |env: &str, key: &str, value: &Option<Cow<'_, str>>| {
+            let text = either(env, key, value)?;
+            text.parse().map_err(|_| format!("{env} or {key}: {text:?} is not an address with a port"))
+        };
+        let seed = u64::from_str_radix(&raw.seed, 16);
+        let site = Site::new(&raw.settings).map_err(|e| format!("{path}: {e}"))?;
+        if raw.settings.grades.is_empty() {
+            return Err(format!("{path}: settings.Grades: must name at least one class"));
+        }
+        let sockets = raw.limits.sockets.unwrap_or(1024);
+        if sockets < 64 {
+            return Err(format!("{path}: limits.sockets: {sockets} is too few, 64 at the least"));
+        }
+        let known = raw.known.unwrap_or(RawList { seq: 0, whole: true, hosts: Vec::new() });
+        Ok(Config {
+            name: either("GW_NAME", "name", &raw.name)?,
+            listen: address("GW_LISTEN", "listen", &raw.listen)?,
+            discovery: address("GW_DISCOVERY", "discovery", &raw.discovery)?,
+            seed: seed.map_err(|_| format!("{path}: seed: {:?} is not 16 hex digits", raw.seed))?,
+            sockets,
+            known: HostList::new(known).map_err(|e| format!("{path}: known.{e}"))?,
+            dial_timeout: raw.settings.limits.dial_timeout_us.map(Micros),
+            site,
+        })
+    }
+}
+
+fn from_json<'a, T: Deserialize<'a>>(json: &'a [u8]) -> Result<T, String> {
+    let mut from = serde_json::Deserializer::from_slice(json);
+    let value = serde_path_to_error::deserialize(&mut from).map_err(|e| match e.path().to_string() {
+        path if path == "." => e.inner().to_string(),
+        path => format!("{path}: {}", e.inner()),
+    })?;
+    from.end().map_err(|e| e.to_string())?;
+    Ok(value)
+}
+
+fn effect(g: &Grade<'_>) -> Effect {
+    match &*g.semantics {
+        "safe" => Effect::Safe,
+        "keyed" => Effect::Keyed {
+            group: match g.key_scope.as_deref() {
+                Some("all") => Group::All,
+                Some("zone") => Group::Zone,
+                _ => Group::Cell,
+            },
+            window: Micros(g.window_us.unwrap_or(0)),
+        },
+        _ => Effect::Unsafe,
+    }
+}
+
+fn hash(text: &str) -> u64 {
+    let mut hasher = FxHasher::default();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The number that a key's 16 hex digits write; of another text its hash.
+pub fn key(text: &str) -> KeyId {
+    KeyId(u64::from_str_radix(text, 16).unwrap_or_else(|_| hash(text)))
+}
+
+/// The place of a name among those met.
+fn dense(known: &mut Vec<String>, name: &str) -> u32 {
+    let at = known.iter().position(|k| k == name).unwrap_or_else(|| {
+        known.push(name.to_string());
+        known.len() - 1
+    });
+    at as u32
+}
--- /dev/null
+++ b/src/facade.rs
@@ -0,0 +1,230 @@
+//! The module in blocking style: ask it to [`pick`](Decisions::pick), [`report`](Decisions::report) what
+//! came of it, and [`tick`](Decisions::tick) when it is due. Network code sees these types alone.
+
+use crate::config::{HostList, Names, Site};
+use crate::interface::{Action, Event, Form, Load, NewRequest};
+use crate::rules::Balancer;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+pub use crate::interface::{ClassId, Code, Effect, KeyId, Micros, RequestId, ServerId, TenantId};
+
+/// A request that wants an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    /// A number of the caller's choosing, never used again.
+    pub request: RequestId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, if it is a known one.
+    pub tenant: Option<TenantId>,
+    /// When its client gives up.
+    pub expires: Micros,
+    /// The work it expects to be, if it says.
+    pub cost: Option<Micros>,
+    /// Its client has tried before.
+    pub repeat: bool,
+    /// What it concerns.
+    pub key: Option<KeyId>,
+}
+
+/// What has become known since.
+pub enum Report {
+    /// An attempt has ended.
+    Ended {
+        /// Of this request.
+        request: RequestId,
+        /// Its number among the request's sends, from 0.
+        attempt: u32,
+        /// How.
+        code: Code,
+        /// How long after it was sent.
+        latency: Duration,
+        /// The requests that its upstream says to hold.
+        held: Option<f64>,
+        /// The request has had its answer.
+        answered: bool,
+    },
+    /// The client has gone away.
+    Gone(RequestId),
+    /// The list that the balancer was started with, which may be old.
+    Known(HostList),
+    /// News of the upstreams.
+    Hosts(HostList),
+    /// The watch that was asked for could not be had, or has ended.
+    WatchFailed,
+}
+
+/// What is to be done now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Send the request to this upstream and give it so long. Its attempts are numbered from 0 in order.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// The upstream.
+        upstream: ServerId,
+        /// The time-out.
+        timeout: Duration,
+    },
+    /// Keep the request; a later call decides.
+    Wait(RequestId),
+    /// Final answer: refused, and trying again is harmless.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// How long its client should stay away, if it is to be told.
+        retry_after: Option<Duration>,
+    },
+    /// Final answer: failed.
+    Fail(RequestId),
+    /// Call an attempt off.
+    Cancel {
+        /// Of this request.
+        request: RequestId,
+        /// This one.
+        attempt: u32,
+    },
+    /// Start to watch discovery.
+    Watch,
+    /// A line for the log.
+    Note(String),
+}
+
+/// The decisions of one balancer.
+pub struct Decisions {
+    balancer: Balancer,
+    names: Names,
+    effects: Vec<Effect>,
+    due: BinaryHeap<Reverse<i64>>,
+    actions: Vec<Action>,
+}
+
+impl Decisions {
+    /// A fresh module.
+    pub fn new(site: Site, seed: u64, now: Micros) -> Decisions {
+        let Site { settings, names } = site;
+        let effects = settings.classes.iter().map(|c| c.effect).collect();
+        let balancer = Balancer::new(settings, seed, now);
+        Decisions { balancer, names, effects, due: BinaryHeap::new(), actions: Vec::new() }
+    }
+
+    /// The class of this name, and what a repeat of it does.
+    pub fn class(&self, name: &str) -> Option<(ClassId, Effect)> {
+        let class = self.names.class(name)?;
+        Some((class, self.effects[class.0 as usize]))
+    }
+
+    /// The tenant of this name.
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        self.names.tenant(name)
+    }
+
+    /// The number of a listed upstream.
+    pub fn upstream(&self, name: &str) -> Option<ServerId> {
+        self.names.server_id(name)
+    }
+
+    /// The name of an upstream.
+    pub fn upstream_name(&self, id: ServerId) -> &str {
+        self.names.server(id)
+    }
+
+    /// Where a new request goes, and what follows from its coming for others.
+    pub fn pick(&mut self, now: Micros, ask: Ask) -> Vec<Decision> {
+        let new = NewRequest {
+            id: ask.request,
+            class: ask.class,
+            tenant: ask.tenant,
+            expires: ask.expires,
+            hint: ask.cost,
+            repeat: ask.repeat,
+            key: ask.key,
+        };
+        let mut decisions = self.handle(now, Event::Request(new));
+        let settled = decisions.iter().any(|d| match d {
+            Decision::Send { request, .. } | Decision::Refuse { request, .. } | Decision::Fail(request) => {
+                *request == ask.request
+            }
+            _ => false,
+        });
+        if !settled {
+            decisions.push(Decision::Wait(ask.request));
+        }
+        decisions
+    }
+
+    /// Takes in what has become known, and says what follows from it.
+    pub fn report(&mut self, now: Micros, report: Report) -> Vec<Decision> {
+        let event = match report {
+            Report::Ended { request, attempt, code, latency, held, answered } => {
+                Event::Outcome(crate::interface::Outcome {
+                    id: request,
+                    attempt,
+                    code,
+                    latency: Micros(latency.as_micros() as i64),
+                    terminal: answered,
+                    load: held.map(|held| Load { held: Some(held) }),
+                })
+            }
+            Report::Gone(request) => Event::Gone(request),
+            Report::Known(list) => return self.hosts(now, Form::Cached, &list),
+            Report::Hosts(list) => {
+                let form = if list.whole { Form::Full } else { Form::Delta };
+                return self.hosts(now, form, &list);
+            }
+            Report::WatchFailed => Event::List { form: Form::Failed, entries: &[] },
+        };
+        self.handle(now, event)
+    }
+
+    /// Lets time pass, if it is due.
+    pub fn tick(&mut self, now: Micros) -> Vec<Decision> {
+        let mut due = false;
+        while self.due.peek().is_some_and(|at| at.0 <= now.0) {
+            self.due.pop();
+            due = true;
+        }
+        match due {
+            true => self.handle(now, Event::Timer(0)),
+            false => Vec::new(),
+        }
+    }
+
+    /// When the next tick is due.
+    pub fn next_tick(&self) -> Option<Micros> {
+        self.due.peek().map(|at| Micros(at.0))
+    }
+
+    fn hosts(&mut self, now: Micros, form: Form, list: &HostList) -> Vec<Decision> {
+        let entries: Vec<_> = list.hosts.iter().map(|(listing, _)| self.names.news(listing)).collect();
+        self.handle(now, Event::List { form, entries: &entries })
+    }
+
+    fn handle(&mut self, now: Micros, event: Event<'_>) -> Vec<Decision> {
+        self.balancer.handle(now, event, &mut self.actions);
+        let due = &mut self.due;
+        let time = |m: Micros| Duration::from_micros(m.0.max(0) as u64);
+        let decisions = self.actions.drain(..).filter_map(|action| {
+            Some(match action {
+                Action::Send { id, server, timeout } => {
+                    Decision::Send { request: id, upstream: server, timeout: time(timeout) }
+                }
+                Action::Cancel { id, attempt } => Decision::Cancel { request: id, attempt },
+                Action::Refuse { id, retry_after } => {
+                    let retry_after = Some(time(retry_after)).filter(|t| !t.is_zero());
+                    Decision::Refuse { request: id, retry_after }
+                }
+                Action::Fail { id } => Decision::Fail(id),
+                Action::Watch => Decision::Watch,
+                Action::Log(text) => Decision::Note(text),
+                Action::Timer { at, .. } => {
+                    due.push(Reverse(at.0));
+                    return None;
+                }
+            })
+        });
+        decisions.collect()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,7 +36,10 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod config;
+pub mod facade;
 mod interface;
+pub mod limits;
 mod rules;
 mod state;
 
--- /dev/null
+++ b/src/limits.rs
@@ -0,0 +1,84 @@
+//! Every size, count and time of the real balancer, filled once at start and handed down.
+
+use crate::config::Config;
+use crate::interface::Micros;
+use std::time::Duration;
+
+/// The limits of one process.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// The module hears of what has come in once in this time.
+    pub resolution: Duration,
+    /// The longest request or answer head.
+    pub head_bytes: usize,
+    /// The most headers in one.
+    pub headers: usize,
+    /// The longest body.
+    pub body_bytes: usize,
+    /// What one read takes from a socket.
+    pub read_bytes: usize,
+    /// The longest line of discovery.
+    pub line_bytes: usize,
+    /// Connections that wait to be accepted.
+    pub backlog: i32,
+    /// Caller connections.
+    pub callers: usize,
+    /// Connections of both sides together.
+    pub connections: usize,
+    /// How long accepting rests when the system has no descriptor left.
+    pub accept_rest: Duration,
+    /// A caller connection between requests is kept so long.
+    pub caller_idle: Duration,
+    /// A caller has so long to finish sending a request that it began.
+    pub caller_request: Duration,
+    /// A connection closed for bad input is read on for so long, so that the answer arrives.
+    pub caller_linger: Duration,
+    /// How long opening a connection to an upstream may take.
+    pub upstream_connect: Duration,
+    /// An upstream connection between requests is kept so long.
+    pub upstream_idle: Duration,
+    /// How long discovery may take to answer a watch.
+    pub discovery_answer: Duration,
+    /// Silence after which a watch is given up; an empty line comes every 2 s.
+    pub discovery_silence: Duration,
+    /// How often ages are looked at.
+    pub sweep: Duration,
+    /// After SIGTERM, connections are kept open between requests for so long.
+    pub drain_keep: Duration,
+    /// And new ones are accepted for so long.
+    pub drain_accept: Duration,
+    /// Log lines that may wait to be written; past them lines are dropped.
+    pub log_lines: usize,
+}
+
+impl Limits {
+    /// The limits that follow from the configuration.
+    pub fn new(config: &Config) -> Limits {
+        let time = |m: Micros| Duration::from_micros(m.0.max(0) as u64);
+        // Listener, loop, signals, discovery, standard streams and room for what is about to close.
+        let connections = config.sockets - (config.sockets / 16).max(24);
+        Limits {
+            resolution: time(config.site.settings.resolution),
+            head_bytes: 16 << 10,
+            headers: 64,
+            body_bytes: 64 << 10,
+            read_bytes: 16 << 10,
+            line_bytes: 4 << 20,
+            backlog: 1024,
+            callers: connections * 5 / 8,
+            connections,
+            accept_rest: Duration::from_millis(20),
+            caller_idle: Duration::from_secs(120),
+            caller_request: Duration::from_secs(10),
+            caller_linger: Duration::from_secs(1),
+            upstream_connect: config.dial_timeout.map_or(Duration::from_millis(250), time),
+            upstream_idle: time(config.site.settings.idle_close) * 2 / 3,
+            discovery_answer: Duration::from_millis(3500),
+            discovery_silence: Duration::from_millis(4500),
+            sweep: Duration::from_millis(500),
+            drain_keep: Duration::from_millis(500),
+            drain_accept: Duration::from_millis(700),
+            log_lines: 1024,
+        }
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,30 @@
+//! One balancer: reads what it is told, and serves until it is told to end.
+#![forbid(unsafe_code)]
+
+mod net;
+
+use calloop::signals::{Signal, Signals};
+use garnettally::config::Config;
+use garnettally::limits::Limits;
+use slog::{o, Drain, Logger};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("garnettally: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let config = Config::read(|name| std::env::var(name).ok())?;
+    let limits = Limits::new(&config);
+    // The signals are blocked before the log's thread starts, so that none of them ends the process there.
+    let terminate = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    let lines = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr())).build().fuse();
+    let lines = slog_async::Async::new(lines).chan_size(limits.log_lines).build().fuse();
+    net::serve(config, limits, Logger::root(lines, o!()), terminate)
+}
--- /dev/null
+++ b/src/net/callers.rs
@@ -0,0 +1,309 @@
+//! The downstream side: the listener and the connections of callers.
+
+use super::http::{self, Bad, Incoming};
+use super::{ConnId, Net, Proxy, Reading, Watched};
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use garnettally::facade::RequestId;
+use rustc_hash::FxHashMap;
+use slog::{debug, warn};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, ErrorKind};
+use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Instant;
+
+/// What a caller's connection is doing.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Between requests, or in the middle of one that is not whole.
+    Reading,
+    /// It waits for the answer to this one.
+    Waiting(RequestId),
+    /// It has had its last answer; what it still sends is thrown away.
+    Lingering,
+}
+
+struct Conn {
+    socket: Watched,
+    state: State,
+    input: Vec<u8>,
+    output: Vec<u8>,
+    written: usize,
+    close: bool,
+    continued: bool,
+    /// It fell idle, or its request began, at this time.
+    since: Instant,
+}
+
+/// The listener and its connections.
+pub struct Callers {
+    listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    conns: FxHashMap<ConnId, Conn>,
+    resume: Option<Instant>,
+}
+
+impl Callers {
+    /// Binds the address and begins to listen.
+    pub fn listen(net: &Net, address: SocketAddr) -> io::Result<Callers> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?; // a restart must not wait for the old connections
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(net.limits.backlog)?;
+        let listener = Rc::new(TcpListener::from(socket));
+        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+        let token = net.handle.insert_source(source, |_, _, proxy: &mut Proxy| {
+            proxy.accept();
+            Ok(PostAction::Continue)
+        });
+        let token = token.map_err(|e| io::Error::other(e.error))?;
+        Ok(Callers { listener: Some((listener, token)), conns: FxHashMap::default(), resume: None })
+    }
+
+    pub fn len(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// When accepting goes on, if it rests.
+    pub fn resume_at(&self) -> Option<Instant> {
+        self.resume
+    }
+
+    /// Closes the connection between requests that has been so for longest.
+    pub fn close_oldest_idle(&mut self, net: &Net) -> bool {
+        let idle = self.conns.iter().filter(|(_, c)| c.idle());
+        match idle.min_by_key(|(_, c)| c.since).map(|(&id, _)| id) {
+            Some(id) => self.drop_conn(net, id),
+            None => false,
+        }
+    }
+
+    fn drop_conn(&mut self, net: &Net, id: ConnId) -> bool {
+        let conn = self.conns.remove(&id);
+        conn.map(|c| net.unwatch(c.socket)).is_some()
+    }
+
+    /// Ends the listening.
+    pub fn stop_listening(&mut self, net: &Net) {
+        if let Some((_, token)) = self.listener.take() {
+            net.handle.remove(token);
+        }
+        self.resume = None;
+    }
+
+    /// Whether an answer is still to be written, or a request begun is still to come in.
+    pub fn owes(&self) -> bool {
+        self.conns.values().any(|c| !c.idle() && c.state != State::Lingering)
+    }
+}
+
+impl Conn {
+    fn idle(&self) -> bool {
+        self.state == State::Reading && self.input.is_empty() && self.written == self.output.len()
+    }
+}
+
+impl Proxy {
+    /// Takes every connection that waits. At the limit idle ones make room; while none is idle, the rest
+    /// wait in the kernel's queue: closing one there would lose a request that is taken already.
+    pub fn accept(&mut self) {
+        while let Some((listener, _)) = &self.callers.listener {
+            let listener = listener.clone();
+            let full = self.callers.len() >= self.net.limits.callers;
+            let room = if full { self.callers.close_oldest_idle(&self.net) } else { self.make_room() };
+            if !room {
+                return self.rest_accepting("no connection is idle");
+            }
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
+                    continue
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    self.upstreams.close_oldest_idle(&self.net);
+                    self.callers.close_oldest_idle(&self.net);
+                    return self.rest_accepting(&e.to_string());
+                }
+            };
+            let id = self.net.number();
+            let stream =
+                stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).map(|()| stream);
+            let ready = move |proxy: &mut Proxy, _| proxy.caller_ready(id);
+            let socket = match stream.and_then(|s| self.net.watch(s, ready)) {
+                Ok(socket) => socket,
+                Err(e) => {
+                    warn!(self.net.log, "a caller's connection could not be served"; "error" => %e);
+                    continue;
+                }
+            };
+            let conn = Conn {
+                socket,
+                state: State::Reading,
+                input: Vec::new(),
+                output: Vec::new(),
+                written: 0,
+                close: false,
+                continued: false,
+                since: Instant::now(),
+            };
+            self.callers.conns.insert(id, conn);
+        }
+    }
+
+    fn rest_accepting(&mut self, why: &str) {
+        if let Some((_, token)) = &self.callers.listener {
+            warn!(self.net.log, "accepting rests"; "why" => why, "callers" => self.callers.conns.len());
+            let _ = self.net.handle.disable(token);
+            self.callers.resume = Some(Instant::now() + self.net.limits.accept_rest);
+        }
+    }
+
+    /// Goes on accepting after a rest.
+    pub fn resume_accepting(&mut self, now: Instant) {
+        if self.callers.resume.is_some_and(|at| at <= now) {
+            self.callers.resume = None;
+            if let Some((_, token)) = &self.callers.listener {
+                let _ = self.net.handle.enable(token);
+            }
+        }
+    }
+
+    fn caller_ready(&mut self, id: ConnId) {
+        let Some(conn) = self.callers.conns.get_mut(&id) else { return };
+        if flush(conn).is_err() {
+            return self.caller_left(id);
+        }
+        // One request and its head at a time; what lies beyond stays in the socket.
+        let most = self.net.limits.head_bytes + 2 * self.net.limits.body_bytes;
+        let reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
+        if conn.state == State::Lingering {
+            conn.input.clear();
+        }
+        match (reading, conn.state) {
+            (Reading::Open, State::Reading) => self.take_requests(id),
+            (Reading::Open, _) => {}
+            // What came before the end may be a whole request, but nobody waits for its answer any more.
+            (Reading::Ended | Reading::Broken, _) => self.caller_left(id),
+        }
+    }
+
+    fn caller_left(&mut self, id: ConnId) {
+        let Some(conn) = self.callers.conns.remove(&id) else { return };
+        let state = conn.state;
+        self.net.unwatch(conn.socket);
+        if let State::Waiting(request) = state {
+            self.client_gone(request);
+        }
+    }
+
+    /// Takes the request that the input holds, if it is whole.
+    fn take_requests(&mut self, id: ConnId) {
+        while let Some(conn) = self.callers.conns.get_mut(&id) {
+            if conn.state != State::Reading || conn.input.is_empty() {
+                return;
+            }
+            match http::request(&conn.input, &self.net.limits) {
+                Ok(Incoming::Partial { expects }) => {
+                    if expects && !std::mem::replace(&mut conn.continued, true) {
+                        conn.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        if flush(conn).is_err() {
+                            self.caller_left(id);
+                        }
+                    }
+                    return;
+                }
+                Ok(Incoming::Whole(request, used)) => {
+                    conn.input.drain(..used);
+                    (conn.continued, conn.since) = (false, Instant::now());
+                    conn.close = !request.keep_alive;
+                    if request.target == "/ready" {
+                        let status = if self.ready() { 200 } else { 503 };
+                        self.answer_caller(id, status, &[], &[]);
+                    } else {
+                        match self.take_request(id, request) {
+                            Ok(number) => {
+                                if let Some(conn) = self.callers.conns.get_mut(&id) {
+                                    conn.state = State::Waiting(number);
+                                }
+                            }
+                            Err(bad) => self.reject_caller(id, bad),
+                        }
+                    }
+                }
+                Err(bad) => return self.reject_caller(id, bad),
+            }
+        }
+    }
+
+    /// Answers what can't be taken, then closes: what follows it may be part of it.
+    fn reject_caller(&mut self, id: ConnId, Bad(status): Bad) {
+        debug!(self.net.log, "a request was not understood"; "status" => status);
+        if let Some(conn) = self.callers.conns.get_mut(&id) {
+            conn.close = true;
+        }
+        self.answer_caller(id, status, &[], &[]);
+    }
+
+    /// Writes an answer; then the connection closes, or takes its next request.
+    pub fn answer_caller(&mut self, id: ConnId, status: u16, headers: &[u8], body: &[u8]) {
+        let closing = self.shutdown.closing();
+        let Some(conn) = self.callers.conns.get_mut(&id) else { return };
+        conn.close |= closing;
+        http::write_answer(&mut conn.output, status, headers, body, conn.close);
+        conn.state = if conn.close { State::Lingering } else { State::Reading };
+        conn.since = Instant::now();
+        if flush(conn).is_err() {
+            self.caller_left(id);
+        }
+    }
+
+    /// The caller whose request was answered may have sent the next one meanwhile.
+    pub fn next_request(&mut self, id: ConnId) {
+        if self.callers.conns.get(&id).is_some_and(|c| !c.input.is_empty()) {
+            self.caller_ready(id);
+        }
+    }
+
+    /// Closes what has been idle, half sent or lingering for too long.
+    pub fn sweep_callers(&mut self, now: Instant) {
+        let limits = &self.net.limits;
+        let (mut slow, mut old) = (Vec::new(), Vec::new());
+        for (&id, c) in &self.callers.conns {
+            let age = now.saturating_duration_since(c.since);
+            match c.state {
+                State::Waiting(_) => {}
+                State::Lingering if c.written < c.output.len() && age < limits.caller_request => {}
+                State::Lingering if age >= limits.caller_linger => old.push(id),
+                State::Reading if c.idle() && age >= limits.caller_idle => old.push(id),
+                State::Reading if !c.idle() && age >= limits.caller_request => slow.push(id),
+                _ => {}
+            }
+        }
+        for id in slow {
+            self.reject_caller(id, Bad(408));
+        }
+        for id in old {
+            self.callers.drop_conn(&self.net, id);
+        }
+    }
+
+    /// Closes every connection between requests.
+    pub fn close_idle_callers(&mut self) {
+        while self.callers.close_oldest_idle(&self.net) {}
+    }
+}
+
+/// Writes what is to be written; the end of the last answer ends the sending.
+fn flush(conn: &mut Conn) -> io::Result<()> {
+    super::write(&conn.socket.stream, &conn.output, &mut conn.written)?;
+    if conn.written == conn.output.len() && conn.written > 0 {
+        conn.output.clear();
+        conn.written = 0;
+        if conn.state == State::Lingering {
+            conn.socket.stream.shutdown(Shutdown::Write)?;
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/exchange.rs
@@ -0,0 +1,246 @@
+//! The life of a request: taken from a caller, decided on by the module, tried, and answered once.
+
+use super::http::{Bad, Request};
+use super::upstreams::Ended;
+use super::{ConnId, Proxy};
+use garnettally::config::key;
+use garnettally::facade::{Ask, Code, Decision, Effect, Micros, Report, RequestId};
+use rustc_hash::FxHashMap;
+use slog::{debug, info};
+use std::time::{Duration, Instant};
+
+/// One request that has been taken.
+struct Exchange {
+    caller: ConnId,
+    request: Box<Request>,
+    /// Attempts so far, and those of them that are out.
+    sends: u32,
+    out: u32,
+    /// It has had its answer, or its client is gone.
+    over: bool,
+}
+
+/// What the module is to hear of at its next turn.
+enum News {
+    Asked(Ask),
+    Known(Report),
+}
+
+/// The requests, and what the module has not heard of yet.
+#[derive(Default)]
+pub struct Exchanges {
+    open: FxHashMap<RequestId, Exchange>,
+    next: u64,
+    news: Vec<News>,
+    first_news: Option<Instant>,
+    ready: bool,
+}
+
+impl Exchanges {
+    /// Has the module hear of this at its next turn.
+    pub fn queue(&mut self, report: Report, now: Instant) {
+        self.add(News::Known(report), now);
+    }
+
+    fn add(&mut self, news: News, now: Instant) {
+        self.news.push(news);
+        self.first_news.get_or_insert(now);
+    }
+
+    /// Whether a request still waits for its answer.
+    pub fn owes(&self) -> bool {
+        self.open.values().any(|x| !x.over)
+    }
+}
+
+impl Proxy {
+    /// Whether a request could be served.
+    pub fn ready(&self) -> bool {
+        self.exchanges.ready && !self.shutdown.closing()
+    }
+
+    /// Takes a request, or says what is wrong with it.
+    pub fn take_request(&mut self, caller: ConnId, request: Box<Request>) -> Result<RequestId, Bad> {
+        let now = Instant::now();
+        let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
+        let class = path.strip_prefix('/').ok_or(Bad(400))?.split('/').next().unwrap_or("");
+        let (class, effect) = self.decisions.class(class).ok_or(Bad(404))?;
+        match (effect, &*request.method) {
+            (Effect::Safe, "GET") => {}
+            (Effect::Safe, _) => return Err(Bad(405)),
+            (_, "POST") if request.keyed || effect == Effect::Unsafe => {}
+            (_, "POST") => return Err(Bad(400)),
+            _ => return Err(Bad(405)),
+        }
+        if request.id.as_ref().is_none_or(|id| id.is_empty()) {
+            return Err(Bad(400));
+        }
+        let seconds = request.deadline.as_deref().and_then(|d| d.parse::<f64>().ok());
+        let seconds = seconds.filter(|s| s.is_finite() && *s >= 0.0 && *s < 1e6).ok_or(Bad(400))?;
+        let cost = request.cost.as_deref().map(|c| c.parse::<f64>().map_err(|_| Bad(400))).transpose()?;
+        let subject = query.split('&').find_map(|pair| pair.strip_prefix("key="));
+        self.exchanges.next += 1;
+        let number = RequestId(self.exchanges.next);
+        let ask = Ask {
+            request: number,
+            class,
+            tenant: request.owner.as_deref().and_then(|t| self.decisions.tenant(t)),
+            expires: self.net.clock.at(now) + Micros((seconds * 1e6) as i64),
+            cost: cost.filter(|c| *c >= 1.0 && *c < 1e12).map(|c| Micros(c as i64)),
+            repeat: request.repeat,
+            key: subject.map(key),
+        };
+        let exchange = Exchange { caller, request, sends: 0, out: 0, over: false };
+        self.exchanges.open.insert(number, exchange);
+        self.exchanges.add(News::Asked(ask), now);
+        Ok(number)
+    }
+
+    /// The client has closed its connection.
+    pub fn client_gone(&mut self, request: RequestId) {
+        if let Some(x) = self.exchanges.open.get_mut(&request).filter(|x| !x.over) {
+            x.over = true;
+            self.exchanges.queue(Report::Gone(request), Instant::now());
+        }
+    }
+
+    /// An attempt has ended: the first one served is the answer, at once. The rest is for the module.
+    pub fn attempt_ended(&mut self, ended: Ended) {
+        let (request, attempt) = ended.attempt;
+        let Some(x) = self.exchanges.open.get_mut(&request) else { return };
+        x.out -= 1;
+        let mut served = None;
+        if ended.code == Code::Ok && !x.over {
+            x.over = true;
+            served = Some(x.caller);
+        }
+        let answered = x.over;
+        if ended.code != Code::Ok {
+            debug!(self.net.log, "attempt"; "request" => request.0, "ended" => ?ended.code,
+                "ms" => ended.latency.as_millis() as u64);
+        }
+        let held = ended.answer.as_ref().and_then(|a| a.held);
+        let (code, latency) = (ended.code, ended.latency);
+        let report = Report::Ended { request, attempt, code, latency, held, answered };
+        self.exchanges.queue(report, Instant::now());
+        if let (Some(caller), Some(answer)) = (served, ended.answer) {
+            self.answer_caller(caller, 200, &answer.headers, &answer.body);
+            self.next_request(caller);
+        }
+    }
+
+    /// When the module is to be asked next: once in its resolution, if there is anything to tell it.
+    pub fn next_consultation(&self) -> Option<Instant> {
+        let due = self.decisions.next_tick().map(|at| self.net.clock.instant(self.round_up(at)));
+        let news =
+            self.exchanges.first_news.map(|at| self.net.clock.instant(self.round_up(self.net.clock.at(at))));
+        due.into_iter().chain(news).min()
+    }
+
+    fn round_up(&self, at: Micros) -> Micros {
+        let step = self.net.limits.resolution.as_micros() as i64;
+        if step == 0 {
+            return at;
+        }
+        Micros((at.0 + step - 1).div_euclid(step) * step)
+    }
+
+    /// Tells the module what has come in, lets time pass there, and does what it decides.
+    pub fn consult(&mut self, at: Instant) {
+        if self.next_consultation().is_none_or(|due| due > at) {
+            return;
+        }
+        let now = self.net.clock.at(at);
+        self.exchanges.first_news = None;
+        let tick = self.decisions.tick(now);
+        self.carry_out(tick);
+        for news in std::mem::take(&mut self.exchanges.news) {
+            let ended = match &news {
+                News::Known(Report::Ended { request, .. } | Report::Gone(request)) => Some(*request),
+                _ => None,
+            };
+            let decisions = match news {
+                News::Asked(ask) => self.decisions.pick(now, ask),
+                News::Known(report) => self.tell(now, report),
+            };
+            self.carry_out(decisions);
+            if let Some(request) = ended {
+                self.forget(request);
+            }
+        }
+    }
+
+    fn tell(&mut self, now: Micros, report: Report) -> Vec<Decision> {
+        let mut found = Vec::new();
+        if let Report::Hosts(list) | Report::Known(list) = &report {
+            for (listing, dial) in &list.hosts {
+                found.push((listing.name.clone(), *dial));
+            }
+        }
+        let decisions = self.decisions.report(now, report);
+        // The module has numbered them; nothing it decides is carried out before they have an address.
+        for (name, dial) in found {
+            let Some(id) = self.decisions.upstream(&name) else { continue };
+            match dial {
+                Some(address) => {
+                    self.exchanges.ready = true;
+                    self.upstreams.moved(&self.net, id, address);
+                }
+                None => self.upstreams.close_idle(&self.net, id),
+            }
+        }
+        decisions
+    }
+
+    fn forget(&mut self, request: RequestId) {
+        if self.exchanges.open.get(&request).is_some_and(|x| x.over && x.out == 0) {
+            self.exchanges.open.remove(&request);
+        }
+    }
+
+    fn carry_out(&mut self, decisions: Vec<Decision>) {
+        for decision in decisions {
+            match decision {
+                Decision::Send { request, upstream, timeout } => {
+                    let Some(x) = self.exchanges.open.get_mut(&request) else { continue };
+                    let attempt = (request, x.sends);
+                    (x.sends, x.out) = (x.sends + 1, x.out + 1);
+                    if x.over {
+                        let ended =
+                            Ended { attempt, code: Code::Moot, latency: Duration::ZERO, answer: None };
+                        self.attempt_ended(ended);
+                        continue;
+                    }
+                    let asked = std::mem::take(&mut x.request);
+                    self.send_attempt(attempt, upstream, &asked, timeout);
+                    if let Some(x) = self.exchanges.open.get_mut(&request) {
+                        x.request = asked;
+                    }
+                }
+                Decision::Wait(_) => {}
+                Decision::Refuse { request, retry_after } => {
+                    let header = retry_after.map(|t| format!("Retry-After: {:.3}\r\n", t.as_secs_f64()));
+                    self.finish(request, 503, header.unwrap_or_default().as_bytes());
+                }
+                Decision::Fail(request) => self.finish(request, 502, &[]),
+                Decision::Cancel { request, attempt } => {
+                    if let Some(ended) = self.upstreams.cancel(&self.net, (request, attempt)) {
+                        self.attempt_ended(ended);
+                    }
+                }
+                Decision::Watch => self.start_watch(),
+                Decision::Note(text) => info!(self.net.log, "{}", text),
+            }
+        }
+    }
+
+    /// The module's final answer, if the request has had none.
+    fn finish(&mut self, request: RequestId, status: u16, headers: &[u8]) {
+        let Some(x) = self.exchanges.open.get_mut(&request).filter(|x| !x.over) else { return };
+        x.over = true;
+        let caller = x.caller;
+        self.forget(request);
+        self.answer_caller(caller, status, headers, &[]);
+        self.next_request(caller);
+    }
+}
--- /dev/null
+++ b/src/net/shutdown.rs
@@ -0,0 +1,67 @@
+//! The end: after SIGTERM the balancer goes on for a while, then closes what is idle and leaves when nothing
+//! is owed any more.
+
+use super::Proxy;
+use slog::info;
+use std::time::Instant;
+
+/// How far the end has come.
+#[derive(Default)]
+pub struct Shutdown {
+    keep_until: Option<Instant>,
+    accept_until: Option<Instant>,
+    closing: bool,
+    deaf: bool,
+}
+
+impl Shutdown {
+    /// Connections close after their present request.
+    pub fn closing(&self) -> bool {
+        self.closing
+    }
+
+    /// When its next step is due.
+    pub fn next_wake(&self) -> Option<Instant> {
+        match (self.closing, self.deaf) {
+            (false, _) => self.keep_until,
+            (true, false) => self.accept_until,
+            _ => None,
+        }
+    }
+}
+
+impl Proxy {
+    /// SIGTERM has come.
+    pub fn begin_shutdown(&mut self) {
+        if self.shutdown.keep_until.is_none() {
+            info!(self.net.log, "told to end");
+            let now = Instant::now();
+            self.shutdown.keep_until = Some(now + self.net.limits.drain_keep);
+            self.shutdown.accept_until = Some(now + self.net.limits.drain_accept);
+        }
+    }
+
+    /// Takes the steps that are due.
+    pub fn continue_shutdown(&mut self, now: Instant) {
+        if !self.shutdown.closing && self.shutdown.keep_until.is_some_and(|at| at <= now) {
+            self.shutdown.closing = true;
+        }
+        if self.shutdown.closing {
+            self.close_idle_callers();
+        }
+        if self.shutdown.closing
+            && !self.shutdown.deaf
+            && self.shutdown.accept_until.is_some_and(|at| at <= now)
+        {
+            // What the kernel has accepted meanwhile is taken already.
+            self.accept();
+            self.callers.stop_listening(&self.net);
+            self.shutdown.deaf = true;
+        }
+    }
+
+    /// Nothing is owed and nobody is listened to.
+    pub fn finished(&self) -> bool {
+        self.shutdown.deaf && !self.exchanges.owes() && !self.callers.owes()
+    }
+}
