--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! garnettally makes the decisions of a load balancer for services that call services.
 //!
 //! [`Balancer`] is one caller's balancer. It does no I/O and reads no clock: it is handed
-//! [`Event`]s with the time they happened and answers with [`Action`]s. See `docs/design.md`.
+//! [`Event`]s with the time they happened and answers with [`Action`]s. [`facade`] puts it in blocking
+//! style for the real balancer, [`config`] reads what it is told, and [`limits`] holds the balancer's limits.
 //!
 //! ```
 //! use garnettally::*;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -17,6 +17,8 @@
     pub body_bytes: usize,
     /// What one read takes from a socket.
     pub read_bytes: usize,
+    /// The longest line between chunks.
+    pub chunk_line_bytes: usize,
     /// The longest line of discovery.
     pub line_bytes: usize,
     /// Connections that wait to be accepted.
@@ -63,6 +65,7 @@
             headers: 64,
             body_bytes: 64 << 10,
             read_bytes: 16 << 10,
+            chunk_line_bytes: 4 << 10,
             line_bytes: 4 << 20,
             backlog: 1024,
             callers: connections * 5 / 8,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -131,7 +131,7 @@
             watch.chunks = Some(Chunks::default());
         }
         let Some(chunks) = watch.chunks.as_mut() else { return Ok(()) };
-        let used = chunks.read(&watch.input, limits.line_bytes, &mut watch.line);
+        let used = chunks.read(&watch.input, limits.line_bytes, limits, &mut watch.line);
         let used = used.map_err(|_| "its chunks make no sense".to_string())?;
         watch.input.drain(..used);
         if used > 0 {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -249,7 +249,7 @@
         Framing::Chunked => {
             let mut chunks = Chunks::default();
             let mut out = Vec::new();
-            let used = chunks.read(buf, limits.body_bytes, &mut out)?;
+            let used = chunks.read(buf, limits.body_bytes, limits, &mut out)?;
             Ok(chunks.done.then_some((out, used)))
         }
     }
@@ -267,7 +267,13 @@
 
 impl Chunks {
     /// Appends what is whole in `buf` to `out`, up to `most` in all, and says how much of `buf` it took.
-    pub fn read(&mut self, buf: &[u8], most: usize, out: &mut Vec<u8>) -> Result<usize, Bad> {
+    pub fn read(
+        &mut self,
+        buf: &[u8],
+        most: usize,
+        limits: &Limits,
+        out: &mut Vec<u8>,
+    ) -> Result<usize, Bad> {
         let mut at = 0;
         while !self.done {
             let rest = &buf[at..];
@@ -290,7 +296,7 @@
                 }
             } else if self.trailers {
                 let Some(end) = rest.windows(2).position(|w| w == b"\r\n") else {
-                    if rest.len() > 4096 {
+                    if rest.len() > limits.chunk_line_bytes {
                         return Err(Bad(400));
                     }
                     break;
@@ -298,7 +304,7 @@
                 (self.done, at) = (end == 0, at + end + 2);
             } else {
                 match httparse::parse_chunk_size(rest).map_err(|_| Bad(400))? {
-                    Status::Partial if rest.len() > 256 => return Err(Bad(400)),
+                    Status::Partial if rest.len() > limits.chunk_line_bytes => return Err(Bad(400)),
                     Status::Partial => break,
                     Status::Complete((n, size)) => {
                         at += n;
--- /dev/null
+++ b/tests/balancer.rs
@@ -0,0 +1,263 @@
+//! The real program, talked to over sockets as clients, upstreams and discovery would.
+
+mod support;
+
+use std::io::Read;
+use std::net::Shutdown;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use support::*;
+
+#[test]
+fn a_request_and_its_answer_pass_unchanged() {
+    let up = Upstream::start(|_| {
+        Reply::Bytes(b"HTTP/1.1 200 OK\r\nSrv-Load: TEXT inflight=1, util=0.2\r\nX-Kept: yes\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n".to_vec())
+    });
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    assert_eq!(b.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+    let mut client = b.client();
+    let request = book("2.5", "a body\r\n");
+    let answer = client.ask(&request);
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"abcde"[..]));
+    assert_eq!(answer.header("x-kept"), Some("yes"));
+    let got = up.got.lock().unwrap()[0].clone();
+    assert_eq!(got.start, "POST /book?key=91f03b7c55d20a64 HTTP/1.1");
+    assert_eq!(got.body, b"a body\r\n");
+    assert_eq!(got.header("idempotency-key"), Some("5c0f6e1a"));
+    assert!(request.contains(&format!("Req-Id: {}\r\n", got.header("req-id").unwrap())));
+    let left: f64 = got.header("req-deadline").unwrap().parse().unwrap();
+    assert!(left > 0.0 && left <= 2.5, "{left}");
+    // Both connections serve the next request, too.
+    let answer = client.ask(&look("1.2"));
+    assert_eq!((answer.status(), up.opened.load(Ordering::SeqCst)), (200, 1));
+    assert_eq!(up.got.lock().unwrap()[1].start, "GET /look/part?key=91f03b7c55d20a64&x=1 HTTP/1.1");
+}
+
+/// Guards against a panic, which ends the process, and against a connection read on in the wrong place.
+#[test]
+fn bad_input_is_answered_and_the_connection_closed() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let head = "Host: a\r\nReq-Id: 1\r\nReq-Deadline: 1\r\n";
+    let long = "a".repeat(20_000);
+    let cases = [
+        (400, "\u{1}\u{2} nonsense\r\n\r\n".to_string()),
+        (400, "GET /look HTTP/1.1\r\nHost: a\r\nReq-Deadline: 1\r\n\r\n".into()),
+        (400, "GET /look HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\n\r\n".into()),
+        (400, "GET /look HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Deadline: soon\r\n\r\n".into()),
+        (400, "GET /look HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Deadline: NaN\r\n\r\n".into()),
+        (400, format!("GET /look HTTP/1.1\r\n{head}Req-Cost: -x\r\n\r\n")),
+        (400, format!("POST /book HTTP/1.1\r\n{head}Content-Length: 0\r\n\r\n")),
+        (400, format!("POST /book HTTP/1.1\r\n{head}Content-Length: 1\r\nContent-Length: 2\r\n\r\nab")),
+        (400, format!("POST /book HTTP/1.1\r\n{head}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")),
+        (400, format!("POST /book HTTP/1.1\r\n{head}Transfer-Encoding: chunked\r\n\r\nzz\r\n")),
+        (404, format!("GET /other HTTP/1.1\r\n{head}\r\n")),
+        (404, format!("GET / HTTP/1.1\r\n{head}\r\n")),
+        (405, format!("POST /look HTTP/1.1\r\n{head}Content-Length: 0\r\n\r\n")),
+        (413, format!("POST /book HTTP/1.1\r\n{head}Idempotency-Key: 1\r\nContent-Length: 65537\r\n\r\n")),
+        (413, format!("POST /book HTTP/1.1\r\n{head}Idempotency-Key: 1\r\nContent-Length: 99999999999999999999\r\n\r\n")),
+        (413, format!("POST /book HTTP/1.1\r\n{head}Transfer-Encoding: chunked\r\n\r\nffffffff\r\n")),
+        (431, format!("GET /look HTTP/1.1\r\n{head}X: {long}\r\n\r\n")),
+    ];
+    for (status, text) in cases {
+        let mut client = b.client();
+        assert_eq!(client.ask(&text).status(), status, "{text:.80}");
+        assert!(client.answer().is_none(), "still open after {text:.80}");
+    }
+    assert_eq!(up.count(), 0);
+    assert_eq!(b.ask(&look("1.2")).status(), 200);
+}
+
+/// Guards against a second effect: once an attempt may have run, a keyed request stays in its cell.
+#[test]
+fn a_keyed_request_is_repeated_in_its_cell_alone() {
+    let cut = |_: &Message| Reply::Last(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec());
+    let ups = [Upstream::start(cut), Upstream::start(cut), Upstream::start(cut), Upstream::start(cut)];
+    let hosts: Vec<_> =
+        (0..4).map(|i| host(&format!("s{i}"), ups[i].address, i as u32 / 2, "SERVING")).collect();
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &hosts);
+    let answer = b.ask(&book("3", "x"));
+    assert_eq!(answer.status(), 502, "it may have run: no refusal");
+    let counts: Vec<_> = ups.iter().map(Upstream::count).collect();
+    assert!(counts[0] + counts[1] == 0 || counts[2] + counts[3] == 0, "{counts:?}");
+    assert!(counts.iter().sum::<usize>() > 1, "{counts:?}");
+}
+
+/// Guards against taking an outcome for another: what never ran may go anywhere, even when keyed.
+#[test]
+fn what_never_ran_is_tried_elsewhere() {
+    let full = Upstream::start(|_| error(503, "Srv-Declined: 1\r\n"));
+    let good = Upstream::start(|_| ok("served"));
+    let gone = free_address(); // nobody listens there
+    let discovery = Discovery::start();
+    let hosts = [("f", full.address, 0), ("g", good.address, 1), ("n", gone, 2)];
+    let hosts = hosts.map(|(name, at, block)| host(name, at, block, "SERVING"));
+    let b = Balancer::start(&discovery, &hosts);
+    for _ in 0..4 {
+        let answer = b.ask(&book("3", "x"));
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"served"[..]));
+    }
+}
+
+/// Guards against a hung upstream: no reset tells of it, and the client must have its answer in time.
+#[test]
+fn silence_ends_with_an_answer_in_time_and_a_closed_connection() {
+    let up = Upstream::start(|_| Reply::Silence);
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let start = Instant::now();
+    let answer = b.ask(&look("0.6"));
+    assert!(matches!(answer.status(), 502 | 503), "{}", answer.start);
+    // Well before the class's own limit, on a slow machine too.
+    assert!(start.elapsed() < Duration::from_millis(1400), "{:?}", start.elapsed());
+    until("the attempt's connection closed", || {
+        up.ended.load(Ordering::SeqCst) == up.opened.load(Ordering::SeqCst)
+    });
+}
+
+/// Guards against work for nobody: the attempt of a client that left is called off.
+#[test]
+fn a_client_that_leaves_takes_its_attempt_along() {
+    let up = Upstream::start(|_| Reply::Silence);
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let mut client = b.client();
+    client.send(&book("6", "x"));
+    until("the attempt", || up.count() == 1);
+    client.stream.shutdown(Shutdown::Both).unwrap();
+    until("its end", || up.ended.load(Ordering::SeqCst) == 1);
+}
+
+/// Guards against nonsense from upstreams: a failed attempt, not a crash, and never an answer half made up.
+#[test]
+fn an_answer_that_makes_no_sense_is_a_failed_attempt() {
+    let mut big = b"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n".to_vec();
+    big.resize(big.len() + 65537, b'x');
+    let bad = [
+        b"\0\0\r\n\r\n".to_vec(),
+        big,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n".to_vec(),
+    ];
+    for bytes in bad {
+        let up = Upstream::start(move |_| Reply::Last(bytes.clone()));
+        let discovery = Discovery::start();
+        let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+        assert!(matches!(b.ask(&look("1")).status(), 502 | 503));
+        assert_eq!(b.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+    }
+}
+
+/// Guards against a reset on the next request: a pooled connection that its upstream closed is dropped.
+#[test]
+fn a_closed_connection_leaves_the_pool() {
+    let up = Upstream::start(|_| Reply::Last(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx".to_vec()));
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    for n in 1..4 {
+        assert_eq!(b.ask(&book("3", "x")).status(), 200);
+        assert_eq!(up.count(), n, "sent once each");
+        until("the upstream's close", || up.ended.load(Ordering::SeqCst) == n as u32);
+        // The close is on its way through the kernel for a moment yet.
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+#[test]
+fn discovery_is_watched_in_pieces_and_again_after_nonsense() {
+    let (first, second) = (Upstream::start(|_| ok("first")), Upstream::start(|_| ok("second")));
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s1", first.address, 0, "SERVING")]);
+    let (asked, mut watch) = discovery.watch();
+    assert!(asked.starts_with("GET /v1/endpoints?stream=1&index=7 "), "{asked}");
+    // Chunks split and join lines: one list in three pieces, with an empty line before and after.
+    let entries = [host("s1", first.address, 0, "DRAINING"), host("s2", second.address, 0, "SERVING")];
+    let line = format!("\n{}\n\n", list(8, false, &entries));
+    let (a, rest) = line.split_at(40);
+    let (c, d) = rest.split_at(100);
+    [a, c, d].iter().for_each(|piece| watch.chunk(piece));
+    until("the draining host gets nothing", || {
+        let before = first.count();
+        let answer = b.ask(&look("1.2"));
+        answer.body == b"second" && first.count() == before
+    });
+    (0..20).for_each(|_| assert_eq!(b.ask(&look("1.2")).body, b"second"));
+    watch.chunk("{\"seq\": nonsense}\n");
+    until("its end", || watch.ended());
+    let (asked, _watch) = discovery.watch();
+    assert!(asked.contains("index=8 "), "{asked}");
+}
+
+/// Guards against a watch that died without a word: an empty line comes every 2 s, or it is dead.
+#[test]
+fn a_silent_watch_is_given_up() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let _b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let (_, mut watch) = discovery.watch();
+    watch.chunk("\n");
+    let start = Instant::now();
+    let (_, _again) = discovery.watch();
+    assert!(start.elapsed() > Duration::from_secs(3), "a live watch was dropped");
+    until("the first one's end", || watch.ended());
+}
+
+/// Guards against dying of EMFILE and against idle callers that lock others out.
+#[test]
+fn idle_callers_make_room() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let b = Balancer::with_sockets(&discovery, &[host("s", up.address, 0, "SERVING")], 64);
+    let mut clients: Vec<_> = (0..120).map(|_| b.client()).collect();
+    assert_eq!(clients.last_mut().unwrap().ask(&look("1.2")).status(), 200);
+    let mut first = clients.remove(0);
+    assert_eq!(first.stream.read(&mut [0; 1]).unwrap(), 0, "the oldest idle one was closed");
+}
+
+/// Guards against losing what was taken at a planned restart.
+#[test]
+fn sigterm_is_survived_by_what_was_taken() {
+    let up = Upstream::start(|m| {
+        std::thread::sleep(Duration::from_millis(if m.start.contains("book") { 1500 } else { 0 }));
+        ok("x")
+    });
+    let discovery = Discovery::start();
+    let mut b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let mut kept = b.client();
+    assert_eq!(kept.ask(&look("1.2")).status(), 200);
+    let mut slow = b.client();
+    slow.send(&book("5", "x"));
+    until("the slow attempt", || up.count() == 2);
+    b.terminate();
+    // New and kept connections are served for a while yet.
+    std::thread::sleep(Duration::from_millis(200));
+    assert_eq!(kept.ask(&look("1.2")).status(), 200);
+    assert_eq!(b.ask(&look("1.2")).status(), 200);
+    assert_eq!(slow.answer().expect("an answer").status(), 200);
+    assert!(b.wait().success());
+    assert!(kept.answer().is_none());
+}
+
+#[test]
+fn a_bad_configuration_names_its_key() {
+    let at = free_address();
+    let good = config(at, at, 1024, &[]);
+    let cases = [
+        (good.replace(r#""seed":"00000000000000a1""#, r#""seed":"?""#), "seed"),
+        (good.replace(r#""sockets":1024"#, r#""sockets":"many""#), "limits.sockets"),
+        (good.replace(r#""sockets":1024"#, r#""sockets":3"#), "limits.sockets"),
+        (good.replace(r#""SloUs":6000000"#, r#""SloUs":-1"#), "settings.Grades[1].SloUs"),
+        (good.replace(r#""Semantics":"safe""#, r#""Semantics":"odd""#), "settings.Grades[0].Semantics"),
+        (good.replace(r#""Name":"look","#, ""), "settings.Grades[0]"),
+        (good.replace(&format!(r#""listen":"{at}""#), r#""listen":"here""#), "listen"),
+        (config(at, at, 1024, &[host("s", at, 0, "ODD")]), "known.hosts[0].health"),
+        ("{".to_string(), "EOF"),
+    ];
+    for (text, key) in cases {
+        let output = program(&text).stderr(std::process::Stdio::piped()).output().unwrap();
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success() && said.contains(key), "{key}: {said}");
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,319 @@
+//! The real program as a process, and the parties it talks to: upstreams, discovery and clients.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits for a condition.
+pub fn until(what: &str, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < end, "never came: {what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// An HTTP message as it was read.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// Reads one; `None` when the connection ends before it is whole.
+    pub fn read(from: &mut impl BufRead) -> Option<Message> {
+        let mut line = || {
+            let mut line = String::new();
+            let n = from.read_line(&mut line).ok()?;
+            (n > 0).then(|| line.trim_end().to_string())
+        };
+        let mut m = Message { start: line()?, ..Message::default() };
+        loop {
+            let header = line()?;
+            let Some((name, value)) = header.split_once(':') else { break };
+            m.headers.push((name.to_lowercase(), value.trim().to_string()));
+        }
+        m.body = vec![0; m.header("content-length").map_or(0, |n| n.parse().unwrap())];
+        from.read_exact(&mut m.body).ok()?;
+        Some(m)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.start.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+}
+
+/// What an upstream does with a request.
+pub enum Reply {
+    /// Writes these bytes and keeps the connection.
+    Bytes(Vec<u8>),
+    /// Writes them and closes.
+    Last(Vec<u8>),
+    /// Writes nothing and waits for the connection to end.
+    Silence,
+}
+
+pub fn ok(body: &str) -> Reply {
+    Reply::Bytes(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).into_bytes())
+}
+
+pub fn error(status: u16, extra: &str) -> Reply {
+    Reply::Bytes(format!("HTTP/1.1 {status} No\r\n{extra}Content-Length: 0\r\n\r\n").into_bytes())
+}
+
+/// An upstream: it keeps what it was sent.
+pub struct Upstream {
+    pub address: SocketAddr,
+    pub got: Arc<Mutex<Vec<Message>>>,
+    /// Connections opened, and those that have ended.
+    pub opened: Arc<AtomicU32>,
+    pub ended: Arc<AtomicU32>,
+}
+
+impl Upstream {
+    pub fn start(reply: impl Fn(&Message) -> Reply + Send + Sync + 'static) -> Upstream {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let u = Upstream { address, got: Arc::default(), opened: Arc::default(), ended: Arc::default() };
+        let (got, opened, ended, reply) = (u.got.clone(), u.opened.clone(), u.ended.clone(), Arc::new(reply));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (got, ended, reply) = (got.clone(), ended.clone(), reply.clone());
+                opened.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || {
+                    let mut stream = stream.unwrap();
+                    let mut input = BufReader::new(stream.try_clone().unwrap());
+                    while let Some(message) = Message::read(&mut input) {
+                        let reply = reply(&message);
+                        got.lock().unwrap().push(message);
+                        match reply {
+                            Reply::Bytes(b) => stream.write_all(&b).unwrap(),
+                            Reply::Last(b) => {
+                                stream.write_all(&b).unwrap();
+                                break;
+                            }
+                            Reply::Silence => {}
+                        }
+                    }
+                    ended.fetch_add(1, Ordering::SeqCst);
+                });
+            }
+        });
+        u
+    }
+
+    pub fn count(&self) -> usize {
+        self.got.lock().unwrap().len()
+    }
+}
+
+/// A host list's entry.
+pub fn host(name: &str, address: SocketAddr, block: u32, health: &str) -> String {
+    format!(
+        r#"{{"host":"{name}","dial":"{address}","site":"a","class":"std","block":{block},"health":"{health}","share":1.0,"born_ms":0}}"#
+    )
+}
+
+pub fn list(seq: u32, whole: bool, hosts: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, hosts.join(","))
+}
+
+/// Discovery: every watch comes out of `watches` with its first line and a hand to write chunks by.
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub watches: Receiver<(String, Watch)>,
+}
+
+pub struct Watch(TcpStream);
+
+impl Watch {
+    /// Writes one chunk.
+    pub fn chunk(&mut self, text: &str) {
+        write!(self.0, "{:x}\r\n{text}\r\n", text.len()).unwrap();
+    }
+
+    /// Whether the balancer has ended it.
+    pub fn ended(&mut self) -> bool {
+        self.0.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+        matches!(self.0.read(&mut [0; 64]), Ok(0))
+    }
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (send, watches): (Sender<(String, Watch)>, _) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.unwrap();
+                let request = Message::read(&mut BufReader::new(stream.try_clone().unwrap()));
+                let Some(request) = request else { continue };
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                if send.send((request.start, Watch(stream))).is_err() {
+                    return;
+                }
+            }
+        });
+        Discovery { address, watches }
+    }
+
+    pub fn watch(&self) -> (String, Watch) {
+        self.watches.recv_timeout(PATIENCE).expect("a watch")
+    }
+}
+
+/// The settings of a small site: one class safe to repeat, one keyed within a cell.
+pub const SETTINGS: &str = r#"{"Az":"a","Azs":["a"],
+ "Contract":{"AskWithinUs":10000000,"ColdShare":0.3,"DrainGraceUs":500000,"GraceToAnswerUs":20000,"RampTimeUs":7700000,"TipAfterUs":2000000},
+ "Grades":[
+  {"HardLimitUs":1500000,"KeyScope":"all","LateWorth":0.0,"Name":"look","Semantics":"safe","SloUs":1500000,"Streaming":false,"WindowUs":5000000,"Worth":1.0},
+  {"HardLimitUs":6000000,"KeyScope":"cell","LateWorth":0.0,"Name":"book","Semantics":"keyed","SloUs":6000000,"Streaming":false,"WindowUs":10000000,"Worth":2.0}],
+ "Kinds":["std"],
+ "Limits":{"DialTimeoutUs":250000,"IdleCloseUs":60000000,"MaxRetryAfterUs":2000000,"MayCancel":true,"ParallelTries":true,"Probes":true,"RetryAfter":true,"SendCap":5},
+ "LoadReport":{"Fields":["busy","rif"],"How":"answers"},
+ "Me":0,"NInstances":1,"OverShareWorth":0.05,
+ "Realms":[{"Name":"acme","QuotaRps":1000.0,"Share":1.0}],
+ "RegistryMode":"on_request","ResolutionUs":5000,"Tier":0,"WeightKind":"none","WorthBy":"work"}"#;
+
+/// The program, started; it is killed when this is dropped.
+pub struct Balancer {
+    pub address: SocketAddr,
+    pub child: Child,
+}
+
+static CONFIGS: AtomicU32 = AtomicU32::new(0);
+
+/// Writes a configuration file of this text.
+pub fn config_file(text: &str) -> String {
+    let n = CONFIGS.fetch_add(1, Ordering::SeqCst);
+    let name = format!("{}/config-{}-{n}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&name, text).unwrap();
+    name
+}
+
+/// The command that starts the program on this configuration.
+pub fn program(config: &str) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_garnettally"));
+    command.env("GW_CONFIG", config_file(config)).stdout(Stdio::null()).stderr(Stdio::null());
+    command
+}
+
+/// A configuration with this list known from before.
+pub fn config(listen: SocketAddr, discovery: SocketAddr, sockets: u32, known: &[String]) -> String {
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"00000000000000a1",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+        "known":{},"settings":{SETTINGS}}}"#,
+        list(7, true, known)
+    )
+}
+
+/// An address of its own that nobody listens on: no other test, and no outgoing connection, uses its host.
+pub fn free_address() -> SocketAddr {
+    let n = CONFIGS.fetch_add(1, Ordering::SeqCst);
+    let host = format!("127.{}.{}.{}:0", 64 + n / 250, std::process::id() % 250 + 1, n % 250 + 1);
+    TcpListener::bind(host).unwrap().local_addr().unwrap()
+}
+
+impl Balancer {
+    pub fn start(discovery: &Discovery, known: &[String]) -> Balancer {
+        Balancer::with_sockets(discovery, known, 1024)
+    }
+
+    pub fn with_sockets(discovery: &Discovery, known: &[String], sockets: u32) -> Balancer {
+        let address = free_address();
+        let child = program(&config(address, discovery.address, sockets, known)).spawn().unwrap();
+        let b = Balancer { address, child };
+        until("the listener", || TcpStream::connect(address).is_ok());
+        b
+    }
+
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let input = BufReader::new(stream.try_clone().unwrap());
+        Client { stream, input }
+    }
+
+    /// One request on a connection of its own.
+    pub fn ask(&self, request: &str) -> Message {
+        self.client().ask(request)
+    }
+
+    pub fn terminate(&self) {
+        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(killed.unwrap().success());
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the program's end", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    pub stream: TcpStream,
+    input: BufReader<TcpStream>,
+}
+
+impl Client {
+    pub fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+
+    /// The next answer; `None`: the connection has ended without one.
+    pub fn answer(&mut self) -> Option<Message> {
+        Message::read(&mut self.input)
+    }
+
+    pub fn ask(&mut self, request: &str) -> Message {
+        self.send(request);
+        self.answer().expect("an answer")
+    }
+}
+
+static IDS: AtomicU32 = AtomicU32::new(1);
+
+/// A request of the class that is safe to repeat.
+pub fn look(deadline: &str) -> String {
+    let id = IDS.fetch_add(1, Ordering::SeqCst);
+    format!(
+        "GET /look/part?key=91f03b7c55d20a64&x=1 HTTP/1.1\r\nHost: app.svc\r\nReq-Id: r{id}\r\nReq-Owner: acme\r\nReq-Deadline: {deadline}\r\nReq-Cost: 2000\r\n\r\n"
+    )
+}
+
+/// A request of the keyed class.
+pub fn book(deadline: &str, body: &str) -> String {
+    let id = IDS.fetch_add(1, Ordering::SeqCst);
+    format!(
+        "POST /book?key=91f03b7c55d20a64 HTTP/1.1\r\nHost: app.svc\r\nReq-Id: r{id}\r\nReq-Owner: acme\r\nReq-Deadline: {deadline}\r\nIdempotency-Key: 5c0f6e1a\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
