Read the load reports under the settings' name

Now both names are read. A test with one loaded and one free upstream failed before (50 to 50) and passes now.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -152,10 +152,11 @@
     }
 }
 
-/// The requests that a load report says to be held; on the socket the settings' `rif` is `inflight`.
+/// The requests that a load report says to be held. It has the settings' name for them, or the other one in
+/// use for the same figure.
 fn held(report: &str) -> Option<f64> {
-    let pairs = report.trim().strip_prefix("TEXT")?;
-    let value = pairs.split(',').find_map(|pair| pair.trim().strip_prefix("inflight="))?;
+    let pairs = report.trim().strip_prefix("TEXT")?.split(',').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.into_iter().find(|(name, _)| matches!(name.trim(), "rif" | "inflight"))?;
     value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)
 }
 
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -34,6 +34,28 @@
     assert_eq!(up.got.lock().unwrap()[1].start, "GET /look/part?key=91f03b7c55d20a64&x=1 HTTP/1.1");
 }
 
+/// Guards against load reports that are passed over: upstreams wrote `rif`, and only `inflight` was read.
+#[test]
+fn reports_of_load_are_heeded_under_either_name() {
+    for name in ["rif", "inflight"] {
+        let reporting = |load: u32| {
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nSrv-Load: TEXT busy=0.5, {name}={load}\r\nContent-Length: 0\r\n\r\n"
+            );
+            Upstream::start(move |_| Reply::Bytes(answer.clone().into_bytes()))
+        };
+        let (loaded, free) = (reporting(60), reporting(0));
+        let discovery = Discovery::start();
+        let hosts = [host("l", loaded.address, 0, "SERVING"), host("f", free.address, 0, "SERVING")];
+        let b = Balancer::start(&discovery, &hosts);
+        let mut client = b.client();
+        for _ in 0..100 {
+            assert_eq!(client.ask(&look("1.2")).status(), 200);
+        }
+        assert!(free.count() > 2 * loaded.count(), "{name}: {} to {}", free.count(), loaded.count());
+    }
+}
+
 /// Guards against a panic, which ends the process, and against a connection read on in the wrong place.
 #[test]
 fn bad_input_is_answered_and_the_connection_closed() {
