Lose no request that lies in the kernel, and reuse no connection its upstream has closed

And a pooled connection that its upstream had just closed could be written to, which ends as a reset. Both are looked into (peek) before they are closed or used.

--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -70,18 +70,16 @@
         self.resume
     }
 
-    /// Closes the connection between requests that has been so for longest.
-    pub fn close_oldest_idle(&mut self, net: &Net) -> bool {
+    /// The connection between requests that has been so for longest.
+    fn oldest_idle(&self) -> Option<ConnId> {
         let idle = self.conns.iter().filter(|(_, c)| c.idle());
-        match idle.min_by_key(|(_, c)| c.since).map(|(&id, _)| id) {
-            Some(id) => self.drop_conn(net, id),
-            None => false,
-        }
+        idle.min_by_key(|(_, c)| c.since).map(|(&id, _)| id)
     }
 
-    fn drop_conn(&mut self, net: &Net, id: ConnId) -> bool {
-        let conn = self.conns.remove(&id);
-        conn.map(|c| net.unwatch(c.socket)).is_some()
+    fn drop_conn(&mut self, net: &Net, id: ConnId) {
+        if let Some(conn) = self.conns.remove(&id) {
+            net.unwatch(conn.socket);
+        }
     }
 
     /// Ends the listening.
@@ -111,7 +109,7 @@
         while let Some((listener, _)) = &self.callers.listener {
             let listener = listener.clone();
             let full = self.callers.len() >= self.net.limits.callers;
-            let room = if full { self.callers.close_oldest_idle(&self.net) } else { self.make_room() };
+            let room = if full { self.close_idle_caller() } else { self.make_room() };
             if !room {
                 return self.rest_accepting("no connection is idle");
             }
@@ -123,7 +121,7 @@
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) => {
                     self.upstreams.close_oldest_idle(&self.net);
-                    self.callers.close_oldest_idle(&self.net);
+                    self.close_idle_caller();
                     return self.rest_accepting(&e.to_string());
                 }
             };
@@ -177,9 +175,10 @@
         }
         // One request and its head at a time; what lies beyond stays in the socket.
         let most = self.net.limits.head_bytes + 2 * self.net.limits.body_bytes;
-        let reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
-        if conn.state == State::Lingering {
+        let mut reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
+        while conn.state == State::Lingering && !conn.input.is_empty() {
             conn.input.clear();
+            reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
         }
         match (reading, conn.state) {
             (Reading::Open, State::Reading) => self.take_requests(id),
@@ -218,7 +217,7 @@
                     conn.input.drain(..used);
                     (conn.continued, conn.since) = (false, Instant::now());
                     conn.close = !request.keep_alive;
-                    if request.target == "/ready" {
+                    if request.target.split('?').next() == Some("/ready") {
                         let status = if self.ready() { 200 } else { 503 };
                         self.answer_caller(id, status, &[], &[]);
                     } else {
@@ -285,13 +284,26 @@
             self.reject_caller(id, Bad(408));
         }
         for id in old {
-            self.callers.drop_conn(&self.net, id);
+            self.caller_ready(id); // its next request may have come just now
+            if self.callers.conns.get(&id).is_some_and(|c| c.idle() || c.state == State::Lingering) {
+                self.callers.drop_conn(&self.net, id);
+            }
         }
     }
 
-    /// Closes every connection between requests.
-    pub fn close_idle_callers(&mut self) {
-        while self.callers.close_oldest_idle(&self.net) {}
+    /// Closes the connection that has been between requests for longest. One whose next request lies in the
+    /// socket is not between requests: that request is taken, and closing would lose it.
+    pub fn close_idle_caller(&mut self) -> bool {
+        while let Some(id) = self.callers.oldest_idle() {
+            let Some(conn) = self.callers.conns.get(&id) else { return false };
+            if conn.socket.stream.peek(&mut [0]).is_ok_and(|n| n > 0) {
+                self.caller_ready(id);
+                continue;
+            }
+            self.callers.drop_conn(&self.net, id);
+            return true;
+        }
+        false
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -212,6 +212,6 @@
         if self.callers.len() + self.upstreams.len() < self.net.limits.connections {
             return true;
         }
-        self.upstreams.close_oldest_idle(&self.net) || self.callers.close_oldest_idle(&self.net)
+        self.upstreams.close_oldest_idle(&self.net) || self.close_idle_caller()
     }
 }
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -47,7 +47,7 @@
             self.shutdown.closing = true;
         }
         if self.shutdown.closing {
-            self.close_idle_callers();
+            while self.close_idle_caller() {}
         }
         if self.shutdown.closing
             && !self.shutdown.deaf
--- a/src/net/upstreams.rs
+++ b/src/net/upstreams.rs
@@ -8,7 +8,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -107,8 +107,18 @@
         Some(conn)
     }
 
-    fn take_idle(&mut self, upstream: ServerId) -> Option<ConnId> {
-        self.idle.get_mut(&upstream)?.pop()
+    /// The idle connection used last. One that its upstream has closed would answer with a reset: it is
+    /// dropped, even if the event loop has not heard of it yet.
+    fn take_idle(&mut self, net: &Net, upstream: ServerId) -> Option<ConnId> {
+        while let Some(id) = self.idle.get_mut(&upstream)?.pop() {
+            let quiet =
+                |c: &Conn| c.socket.stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+            if self.conns.get(&id).is_some_and(quiet) {
+                return Some(id);
+            }
+            self.remove(net, id);
+        }
+        None
     }
 
     /// Gives an attempt up: its connection closes.
@@ -159,7 +169,7 @@
         let Some(&address) = self.upstreams.addresses.get(&to) else {
             return self.attempt_ended(failed);
         };
-        let id = match self.upstreams.take_idle(to) {
+        let id = match self.upstreams.take_idle(&self.net, to) {
             Some(id) => id,
             None => {
                 if !self.make_room() {
@@ -217,9 +227,7 @@
             }
             conn.open = true;
         }
-        let was = conn.written;
         let wrote = super::write(&conn.socket.stream, &conn.output, &mut conn.written);
-        let _ = was;
         let limits = &self.net.limits;
         let most = limits.head_bytes + 2 * limits.body_bytes;
         let reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
