Keep HTTP out of the life of a request

The codec turns a message into a call of plain values, the exchange says served, refused or failed, and only the callers' side knows statuses and headers: another protocol can be put before the same decisions. One way to connect serves upstreams and discovery; a message in the making is bounded by one limit, and large buffers are given back. No change in what is decided.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -15,6 +15,8 @@
     pub headers: usize,
     /// The longest body.
     pub body_bytes: usize,
+    /// The most that is kept of an incoming message: head, body and the framing between its chunks.
+    pub message_bytes: usize,
     /// What one read takes from a socket.
     pub read_bytes: usize,
     /// The longest line between chunks.
@@ -64,6 +66,7 @@
             head_bytes: 16 << 10,
             headers: 64,
             body_bytes: 64 << 10,
+            message_bytes: 96 << 10,
             read_bytes: 16 << 10,
             chunk_line_bytes: 4 << 10,
             line_bytes: 4 << 20,
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -1,5 +1,6 @@
 //! The downstream side: the listener and the connections of callers.
 
+use super::exchange::{Final, Unfit};
 use super::http::{self, Bad, Incoming};
 use super::{ConnId, Net, Proxy, Reading, Watched};
 use calloop::generic::Generic;
@@ -174,7 +175,7 @@
             return self.caller_left(id);
         }
         // One request and its head at a time; what lies beyond stays in the socket.
-        let most = self.net.limits.head_bytes + 2 * self.net.limits.body_bytes;
+        let most = self.net.limits.message_bytes;
         let mut reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
         while conn.state == State::Lingering && !conn.input.is_empty() {
             conn.input.clear();
@@ -204,6 +205,9 @@
                 return;
             }
             match http::request(&conn.input, &self.net.limits) {
+                Ok(Incoming::Partial { .. }) if conn.input.len() > self.net.limits.message_bytes => {
+                    return self.reject_caller(id, Bad(413));
+                }
                 Ok(Incoming::Partial { expects }) => {
                     if expects && !std::mem::replace(&mut conn.continued, true) {
                         conn.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
@@ -215,19 +219,27 @@
                 }
                 Ok(Incoming::Whole(request, used)) => {
                     conn.input.drain(..used);
+                    conn.input.shrink_to(self.net.limits.read_bytes);
                     (conn.continued, conn.since) = (false, Instant::now());
                     conn.close = !request.keep_alive;
-                    if request.target.split('?').next() == Some("/ready") {
+                    if request.path() == "/ready" {
                         let status = if self.ready() { 200 } else { 503 };
-                        self.answer_caller(id, status, &[], &[]);
+                        self.write_answer(id, status, &[], &[]);
                     } else {
-                        match self.take_request(id, request) {
-                            Ok(number) => {
-                                if let Some(conn) = self.callers.conns.get_mut(&id) {
-                                    conn.state = State::Waiting(number);
-                                }
+                        let taken = http::call(&request).and_then(|call| {
+                            self.take_request(id, &call).map_err(|unfit| match unfit {
+                                Unfit::Class => Bad(404),
+                                Unfit::Method => Bad(405),
+                                Unfit::NoKey => Bad(400),
+                            })
+                        });
+                        match (taken, self.callers.conns.get_mut(&id)) {
+                            (Ok(number), Some(conn)) => {
+                                conn.state = State::Waiting(number);
+                                self.exchanges.keep(number, request);
                             }
-                            Err(bad) => self.reject_caller(id, bad),
+                            (Err(bad), _) => self.reject_caller(id, bad),
+                            _ => {}
                         }
                     }
                 }
@@ -242,11 +254,27 @@
         if let Some(conn) = self.callers.conns.get_mut(&id) {
             conn.close = true;
         }
-        self.answer_caller(id, status, &[], &[]);
+        self.write_answer(id, status, &[], &[]);
+    }
+
+    /// Gives a request its final answer, and the connection's next request its turn.
+    pub fn answer_caller(&mut self, id: ConnId, answer: Final<'_>) {
+        match answer {
+            Final::Served(a) => self.write_answer(id, 200, &a.headers, &a.body),
+            Final::Failed => self.write_answer(id, 502, &[], &[]),
+            Final::Refused { retry_after } => {
+                let advice = retry_after.map(|t| format!("Retry-After: {:.3}\r\n", t.as_secs_f64()));
+                self.write_answer(id, 503, advice.unwrap_or_default().as_bytes(), &[]);
+            }
+        }
+        // It may have sent the next one meanwhile.
+        if self.callers.conns.get(&id).is_some_and(|c| !c.input.is_empty()) {
+            self.caller_ready(id);
+        }
     }
 
     /// Writes an answer; then the connection closes, or takes its next request.
-    pub fn answer_caller(&mut self, id: ConnId, status: u16, headers: &[u8], body: &[u8]) {
+    fn write_answer(&mut self, id: ConnId, status: u16, headers: &[u8], body: &[u8]) {
         let closing = self.shutdown.closing();
         let Some(conn) = self.callers.conns.get_mut(&id) else { return };
         conn.close |= closing;
@@ -258,13 +286,6 @@
         }
     }
 
-    /// The caller whose request was answered may have sent the next one meanwhile.
-    pub fn next_request(&mut self, id: ConnId) {
-        if self.callers.conns.get(&id).is_some_and(|c| !c.input.is_empty()) {
-            self.caller_ready(id);
-        }
-    }
-
     /// Closes what has been idle, half sent or lingering for too long.
     pub fn sweep_callers(&mut self, now: Instant) {
         let limits = &self.net.limits;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,8 +5,7 @@
 use garnettally::config::HostList;
 use garnettally::facade::Report;
 use slog::{info, warn};
-use socket2::{Domain, Protocol, Socket, Type};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::time::Instant;
 
 struct Watch {
@@ -37,15 +36,6 @@
     pub fn deadline(&self) -> Option<Instant> {
         self.watch.as_ref().map(|w| w.deadline)
     }
-
-    fn connect(&self) -> std::io::Result<TcpStream> {
-        let socket = Socket::new(Domain::for_address(self.address), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_nonblocking(true)?;
-        socket.set_tcp_nodelay(true)?;
-        // Not up yet is no failure: the first write tells.
-        let _ = socket.connect(&self.address.into());
-        Ok(socket.into())
-    }
 }
 
 impl Proxy {
@@ -54,7 +44,7 @@
         self.end_watch();
         let number = self.net.number();
         let ready = move |proxy: &mut Proxy, r: calloop::Readiness| proxy.discovery_ready(number, r.writable);
-        let socket = match self.discovery.connect().and_then(|s| self.net.watch(s, ready)) {
+        let socket = match super::connect(self.discovery.address).and_then(|s| self.net.watch(s, ready)) {
             Ok(socket) => socket,
             Err(e) => return self.watch_failed(&e.to_string()),
         };
@@ -149,7 +139,7 @@
         for list in lists {
             info!(self.net.log, "hosts"; "seq" => list.seq, "whole" => list.whole, "entries" => list.hosts.len());
             self.discovery.version = list.seq;
-            self.hosts(list, Report::Hosts, Instant::now());
+            self.exchanges.queue(Report::Hosts(list), Instant::now());
         }
         if done {
             return Err("discovery ended it".into());
@@ -157,10 +147,3 @@
         Ok(())
     }
 }
-
-impl Proxy {
-    /// A list goes to the module; its addresses are taken as it does so.
-    pub fn hosts(&mut self, list: HostList, report: fn(HostList) -> Report, now: Instant) {
-        self.exchanges.queue(report(list), now);
-    }
-}
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -1,6 +1,6 @@
 //! The life of a request: taken from a caller, decided on by the module, tried, and answered once.
 
-use super::http::{Bad, Request};
+use super::http::{Answer, Call, Request};
 use super::upstreams::Ended;
 use super::{ConnId, Proxy};
 use garnettally::config::key;
@@ -9,6 +9,26 @@
 use slog::{debug, info};
 use std::time::{Duration, Instant};
 
+/// Why a call can't be taken.
+pub enum Unfit {
+    /// No class has its name.
+    Class,
+    /// It says to change nothing where its class changes something, or the other way round.
+    Method,
+    /// Its class wants a key, and it has none.
+    NoKey,
+}
+
+/// The one answer that every request gets.
+pub enum Final<'a> {
+    /// An upstream's.
+    Served(&'a Answer),
+    /// Trying again is harmless.
+    Refused { retry_after: Option<Duration> },
+    /// Nothing is promised.
+    Failed,
+}
+
 /// One request that has been taken.
 struct Exchange {
     caller: ConnId,
@@ -42,6 +62,13 @@
         self.add(News::Known(report), now);
     }
 
+    /// Keeps the message of a request just taken, to be sent to upstreams.
+    pub fn keep(&mut self, number: RequestId, request: Box<Request>) {
+        if let Some(x) = self.open.get_mut(&number) {
+            x.request = request;
+        }
+    }
+
     fn add(&mut self, news: News, now: Instant) {
         self.news.push(news);
         self.first_news.get_or_insert(now);
@@ -59,38 +86,29 @@
         self.exchanges.ready && !self.shutdown.closing()
     }
 
-    /// Takes a request, or says what is wrong with it.
-    pub fn take_request(&mut self, caller: ConnId, request: Box<Request>) -> Result<RequestId, Bad> {
+    /// Takes a call, or says why it can't be taken.
+    pub fn take_request(&mut self, caller: ConnId, call: &Call<'_>) -> Result<RequestId, Unfit> {
         let now = Instant::now();
-        let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
-        let class = path.strip_prefix('/').ok_or(Bad(400))?.split('/').next().unwrap_or("");
-        let (class, effect) = self.decisions.class(class).ok_or(Bad(404))?;
-        match (effect, &*request.method) {
-            (Effect::Safe, "GET") => {}
-            (Effect::Safe, _) => return Err(Bad(405)),
-            (_, "POST") if request.keyed || effect == Effect::Unsafe => {}
-            (_, "POST") => return Err(Bad(400)),
-            _ => return Err(Bad(405)),
-        }
-        if request.id.as_ref().is_none_or(|id| id.is_empty()) {
-            return Err(Bad(400));
+        let (class, effect) = self.decisions.class(call.class).ok_or(Unfit::Class)?;
+        match effect {
+            Effect::Safe if !call.read_only => return Err(Unfit::Method),
+            Effect::Keyed { .. } | Effect::Unsafe if call.read_only => return Err(Unfit::Method),
+            Effect::Keyed { .. } if !call.keyed => return Err(Unfit::NoKey),
+            _ => {}
         }
-        let seconds = request.deadline.as_deref().and_then(|d| d.parse::<f64>().ok());
-        let seconds = seconds.filter(|s| s.is_finite() && *s >= 0.0 && *s < 1e6).ok_or(Bad(400))?;
-        let cost = request.cost.as_deref().map(|c| c.parse::<f64>().map_err(|_| Bad(400))).transpose()?;
-        let subject = query.split('&').find_map(|pair| pair.strip_prefix("key="));
+        let micros = |d: Duration| Micros(d.as_micros() as i64);
         self.exchanges.next += 1;
         let number = RequestId(self.exchanges.next);
         let ask = Ask {
             request: number,
             class,
-            tenant: request.owner.as_deref().and_then(|t| self.decisions.tenant(t)),
-            expires: self.net.clock.at(now) + Micros((seconds * 1e6) as i64),
-            cost: cost.filter(|c| *c >= 1.0 && *c < 1e12).map(|c| Micros(c as i64)),
-            repeat: request.repeat,
-            key: subject.map(key),
+            tenant: call.owner.and_then(|t| self.decisions.tenant(t)),
+            expires: self.net.clock.at(now) + micros(call.deadline),
+            cost: call.cost.map(micros).filter(|c| c.0 > 0),
+            repeat: call.repeat,
+            key: call.subject.map(key),
         };
-        let exchange = Exchange { caller, request, sends: 0, out: 0, over: false };
+        let exchange = Exchange { caller, request: Box::default(), sends: 0, out: 0, over: false };
         self.exchanges.open.insert(number, exchange);
         self.exchanges.add(News::Asked(ask), now);
         Ok(number)
@@ -124,8 +142,7 @@
         let report = Report::Ended { request, attempt, code, latency, held, answered };
         self.exchanges.queue(report, Instant::now());
         if let (Some(caller), Some(answer)) = (served, ended.answer) {
-            self.answer_caller(caller, 200, &answer.headers, &answer.body);
-            self.next_request(caller);
+            self.answer_caller(caller, Final::Served(&answer));
         }
     }
 
@@ -219,10 +236,9 @@
                 }
                 Decision::Wait(_) => {}
                 Decision::Refuse { request, retry_after } => {
-                    let header = retry_after.map(|t| format!("Retry-After: {:.3}\r\n", t.as_secs_f64()));
-                    self.finish(request, 503, header.unwrap_or_default().as_bytes());
+                    self.finish(request, Final::Refused { retry_after });
                 }
-                Decision::Fail(request) => self.finish(request, 502, &[]),
+                Decision::Fail(request) => self.finish(request, Final::Failed),
                 Decision::Cancel { request, attempt } => {
                     if let Some(ended) = self.upstreams.cancel(&self.net, (request, attempt)) {
                         self.attempt_ended(ended);
@@ -235,12 +251,11 @@
     }
 
     /// The module's final answer, if the request has had none.
-    fn finish(&mut self, request: RequestId, status: u16, headers: &[u8]) {
+    fn finish(&mut self, request: RequestId, answer: Final<'_>) {
         let Some(x) = self.exchanges.open.get_mut(&request).filter(|x| !x.over) else { return };
         x.over = true;
         let caller = x.caller;
         self.forget(request);
-        self.answer_caller(caller, status, headers, &[]);
-        self.next_request(caller);
+        self.answer_caller(caller, answer);
     }
 }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -37,6 +37,58 @@
     pub keyed: bool,
 }
 
+impl Request {
+    /// The target without its query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("")
+    }
+}
+
+/// What a request asks for, in plain values; nothing here is of HTTP.
+#[derive(Debug)]
+pub struct Call<'a> {
+    pub class: &'a str,
+    /// What it concerns: requests that share it belong together.
+    pub subject: Option<&'a str>,
+    pub owner: Option<&'a str>,
+    pub deadline: Duration,
+    pub cost: Option<Duration>,
+    /// Its client has tried before.
+    pub repeat: bool,
+    /// It is said to change nothing.
+    pub read_only: bool,
+    /// It carries a key by which a repeat is known.
+    pub keyed: bool,
+}
+
+/// The call that a request makes.
+pub fn call(r: &Request) -> Result<Call<'_>, Bad> {
+    let (path, query) = r.target.split_once('?').unwrap_or((&r.target, ""));
+    let number = |text: &str, most: f64| {
+        let value = text.parse::<f64>().ok().filter(|v| (0.0..most).contains(v));
+        value.ok_or(Bad(400))
+    };
+    let cost = r.cost.as_deref().map(|c| number(c, 1e12)).transpose()?;
+    if r.id.as_ref().is_none_or(|id| id.is_empty()) {
+        return Err(Bad(400));
+    }
+    let read_only = match &*r.method {
+        "GET" => true,
+        "POST" => false,
+        _ => return Err(Bad(405)),
+    };
+    Ok(Call {
+        class: path.strip_prefix('/').ok_or(Bad(400))?.split('/').next().unwrap_or(""),
+        subject: query.split('&').find_map(|pair| pair.strip_prefix("key=")),
+        owner: r.owner.as_deref(),
+        deadline: Duration::from_secs_f64(number(r.deadline.as_deref().ok_or(Bad(400))?, 1e6)?),
+        cost: cost.map(|us| Duration::from_micros(us as u64)),
+        repeat: r.repeat,
+        read_only,
+        keyed: r.keyed,
+    })
+}
+
 /// A request as far as it has come in.
 #[derive(Debug)]
 pub enum Incoming {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,8 +17,9 @@
 use garnettally::facade::{Decisions, Micros, Report};
 pub use garnettally::limits::Limits;
 use slog::{info, Logger};
+use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -126,6 +127,20 @@
     }
 }
 
+/// What a connect that has not come up yet answers on Linux.
+const EINPROGRESS: i32 = 115;
+
+/// Begins to connect; the stream becomes writable once it is up.
+fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.raw_os_error() != Some(EINPROGRESS) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
 /// Writes on from `at`; an error is a broken connection.
 pub fn write(mut stream: &TcpStream, buf: &[u8], at: &mut usize) -> io::Result<()> {
     while *at < buf.len() {
@@ -170,7 +185,7 @@
         .handle()
         .insert_source(terminate, |_, _, proxy| proxy.begin_shutdown())
         .map_err(|e| e.to_string())?;
-    proxy.hosts(config.known, Report::Known, now);
+    proxy.exchanges.queue(Report::Known(config.known), now);
     while !proxy.finished() {
         let wait = proxy.next_wake().map(|at| at.saturating_duration_since(Instant::now()));
         events.dispatch(wait, &mut proxy).map_err(|e| format!("event loop: {e}"))?;
--- a/src/net/upstreams.rs
+++ b/src/net/upstreams.rs
@@ -5,11 +5,10 @@
 use garnettally::facade::{Code, RequestId, ServerId};
 use rustc_hash::FxHashMap;
 use slog::warn;
-use socket2::{Domain, Protocol, Socket, Type};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, TcpStream};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// An attempt: the request, and its number among the request's sends.
@@ -124,20 +123,17 @@
     /// Gives an attempt up: its connection closes.
     pub fn cancel(&mut self, net: &Net, attempt: Attempt) -> Option<Ended> {
         let id = *self.flights.get(&attempt)?;
-        let conn = self.remove(net, id)?;
-        Some(conn.end(Code::Cancelled, None))
+        Some(self.remove(net, id)?.flight?.end(Code::Cancelled))
     }
 }
 
-impl Conn {
-    fn end(&self, code: Code, answer: Option<Answer>) -> Ended {
-        let (attempt, sent) = match &self.flight {
-            Some(f) => (f.attempt, f.sent),
-            None => ((RequestId(u64::MAX), 0), self.idle_since),
-        };
-        Ended { attempt, code, latency: sent.elapsed(), answer }
+impl Flight {
+    fn end(&self, code: Code) -> Ended {
+        Ended { attempt: self.attempt, code, latency: self.sent.elapsed(), answer: None }
     }
+}
 
+impl Conn {
     /// What its breaking means: a request that was not written whole can't have run.
     fn broken(&self) -> Code {
         if self.open && self.written == self.output.len() {
@@ -148,19 +144,6 @@
     }
 }
 
-fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    socket.set_tcp_nodelay(true)?;
-    match socket.connect(&address.into()) {
-        Err(e) if e.raw_os_error() != Some(EINPROGRESS) => Err(e),
-        _ => Ok(socket.into()),
-    }
-}
-
-/// What a connect that has not come up yet answers on Linux.
-const EINPROGRESS: i32 = 115;
-
 impl Proxy {
     /// Sends an attempt on an idle connection, or on a new one.
     pub fn send_attempt(&mut self, attempt: Attempt, to: ServerId, request: &Request, timeout: Duration) {
@@ -179,7 +162,7 @@
                 let id = self.net.number();
                 let ready =
                     move |proxy: &mut Proxy, r: calloop::Readiness| proxy.upstream_ready(id, r.writable);
-                let socket = match connect(address).and_then(|s| self.net.watch(s, ready)) {
+                let socket = match super::connect(address).and_then(|s| self.net.watch(s, ready)) {
                     Ok(socket) => socket,
                     Err(_) => return self.attempt_ended(failed),
                 };
@@ -228,8 +211,7 @@
             conn.open = true;
         }
         let wrote = super::write(&conn.socket.stream, &conn.output, &mut conn.written);
-        let limits = &self.net.limits;
-        let most = limits.head_bytes + 2 * limits.body_bytes;
+        let most = self.net.limits.message_bytes;
         let reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
         if conn.flight.is_none() {
             // An idle connection has nothing to say but that it ends.
@@ -263,11 +245,12 @@
             _ => Code::Error,
         };
         let whole = conn.written == conn.output.len();
-        let ended = conn.end(code, None);
+        let Some(ended) = conn.flight.as_ref().map(|f| f.end(code)) else { return };
         if open && whole && answer.keep_alive {
             let upstream = conn.upstream;
             (conn.flight, conn.idle_since) = (None, Instant::now());
             conn.input.clear();
+            conn.input.shrink_to(self.net.limits.read_bytes);
             self.upstreams.flights.remove(&ended.attempt);
             self.upstreams.idle.entry(upstream).or_default().push(id);
         } else {
@@ -278,9 +261,8 @@
 
     fn upstream_broken(&mut self, id: ConnId) {
         let Some(conn) = self.upstreams.remove(&self.net, id) else { return };
-        if conn.flight.is_some() {
-            let ended = conn.end(conn.broken(), None);
-            self.attempt_ended(ended);
+        if let Some(flight) = &conn.flight {
+            self.attempt_ended(flight.end(conn.broken()));
         }
     }
 
@@ -295,8 +277,9 @@
             let Some(conn) = self.upstreams.remove(&self.net, id) else { continue };
             let unsent = !conn.open || conn.written < conn.output.len();
             let code = if unsent { Code::ConnectFailed } else { Code::Timeout };
-            let ended = conn.end(code, None);
-            self.attempt_ended(ended);
+            if let Some(flight) = &conn.flight {
+                self.attempt_ended(flight.end(code));
+            }
         }
     }
 }
