--- a/src/facade.rs
+++ b/src/facade.rs
@@ -8,7 +8,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-pub use crate::interface::{ClassId, Code, Effect, KeyId, Micros, RequestId, ServerId, TenantId};
+pub use crate::interface::{ClassId, Code, Effect, KeyId, Listed, Micros, RequestId, ServerId, TenantId};
 
 /// A request that wants an upstream.
 #[derive(Clone, Copy, Debug)]
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -93,7 +93,10 @@
 
     /// Whether an answer is still to be written, or a request begun is still to come in.
     pub fn owes(&self) -> bool {
-        self.conns.values().any(|c| !c.idle() && c.state != State::Lingering)
+        self.conns.values().any(|c| match c.state {
+            State::Lingering => c.written < c.output.len(),
+            _ => !c.idle(),
+        })
     }
 }
 
@@ -109,7 +112,8 @@
     pub fn accept(&mut self) {
         while let Some((listener, _)) = &self.callers.listener {
             let listener = listener.clone();
-            let full = self.callers.len() >= self.net.limits.callers;
+            // One over the limit, until the next one comes: nothing is closed for a connection not there.
+            let full = self.callers.len() > self.net.limits.callers;
             let room = if full { self.close_idle_caller() } else { self.make_room() };
             if !room {
                 return self.rest_accepting("no connection is idle");
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -4,7 +4,7 @@
 use super::upstreams::Ended;
 use super::{ConnId, Proxy};
 use garnettally::config::key;
-use garnettally::facade::{Ask, Code, Decision, Effect, Micros, Report, RequestId};
+use garnettally::facade::{Ask, Code, Decision, Effect, Listed, Micros, Report, RequestId};
 use rustc_hash::FxHashMap;
 use slog::{debug, info};
 use std::time::{Duration, Instant};
@@ -191,19 +191,19 @@
         let mut found = Vec::new();
         if let Report::Hosts(list) | Report::Known(list) = &report {
             for (listing, dial) in &list.hosts {
-                found.push((listing.name.clone(), *dial));
+                found.push((listing.name.clone(), *dial, listing.state == Listed::Ready));
             }
         }
         let decisions = self.decisions.report(now, report);
         // The module has numbered them; nothing it decides is carried out before they have an address.
-        for (name, dial) in found {
+        for (name, dial, ready) in found {
             let Some(id) = self.decisions.upstream(&name) else { continue };
-            match dial {
-                Some(address) => {
-                    self.exchanges.ready = true;
-                    self.upstreams.moved(&self.net, id, address);
-                }
-                None => self.upstreams.close_idle(&self.net, id),
+            self.exchanges.ready |= ready;
+            if let Some(address) = dial {
+                self.upstreams.moved(&self.net, id, address);
+            }
+            if !ready {
+                self.upstreams.close_idle(&self.net, id);
             }
         }
         decisions
