--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 	RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --quiet
 
 # GW_CONFIG names the configuration: make run GW_CONFIG=config.json
+GW_CONFIG ?= deploy/example.json
 run: build
 	GW_CONFIG="$(GW_CONFIG)" target/release/garnettally
 
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -281,6 +281,17 @@
     assert!(kept.answer().is_none());
 }
 
+/// The example starts as it is; the environment goes before the file.
+#[test]
+fn the_example_configuration_starts() {
+    let at = free_address();
+    let example =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/example.json")).unwrap();
+    let child = program(&example).env("GW_LISTEN", at.to_string()).spawn().unwrap();
+    let b = Balancer { address: at, child };
+    until("readiness", || std::net::TcpStream::connect(at).is_ok() && b.ask(READY).status() == 200);
+}
+
 #[test]
 fn a_bad_configuration_names_its_key() {
     let at = free_address();
