Let time pass last in a turn, as the simulator does

A tap of the simulator shows the order within a batch: outcomes and requests as they came, timers last (7,937 times a timer after a request, 32 times before one). consult() in src/net/exchange.rs ticked first, so held requests were judged before the outcomes of the same turn had made room. Ruled out: the grid, CPU, late sends, reports.

--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -162,15 +162,13 @@
         Micros((at.0 + step - 1).div_euclid(step) * step)
     }
 
-    /// Tells the module what has come in, lets time pass there, and does what it decides.
+    /// Tells the module what has come in, then lets time pass there, and does what it decides.
     pub fn consult(&mut self, at: Instant) {
         if self.next_consultation().is_none_or(|due| due > at) {
             return;
         }
         let now = self.net.clock.at(at);
         self.exchanges.first_news = None;
-        let tick = self.decisions.tick(now);
-        self.carry_out(tick);
         for news in std::mem::take(&mut self.exchanges.news) {
             let ended = match &news {
                 News::Known(Report::Ended { request, .. } | Report::Gone(request)) => Some(*request),
@@ -185,6 +183,9 @@
                 self.forget(request);
             }
         }
+        // Time last, as in the simulator: what came in by now may have made room for what waits.
+        let tick = self.decisions.tick(now);
+        self.carry_out(tick);
     }
 
     fn tell(&mut self, now: Micros, report: Report) -> Vec<Decision> {
