Read the configuration again on SIGHUP and follow its discovery

Now SIGHUP comes through the loop like the others, the signals are blocked before the file is first read, and net/reload.rs reads the file through the one place that checks it. The new service is asked for all (index 0) at once, rather than after the old watch dies 1.5 s later and the module's back-off. A connect to discovery that does not come up is given up after 1 s, not 3.5 s: what discovery has to tell counts as told 4 s after SIGHUP.

--- a/src/config.rs
+++ b/src/config.rs
@@ -370,6 +370,9 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where the file alone says so: a change here is followed while the program runs, which no change of the
+    /// environment can reach.
+    pub discovery_in_file: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// File descriptors that the process may hold.
@@ -407,8 +410,13 @@
 }
 
 impl Config {
-    /// Reads the environment and the file that it names.
-    pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    /// Reads the process's environment and the file that it names; for the start and for every reload.
+    pub fn from_environment() -> Result<Config, String> {
+        Config::read(|name| std::env::var(name).ok())
+    }
+
+    /// Reads these variables and the file that they name.
+    fn read(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let path = var("GW_CONFIG").ok_or("GW_CONFIG: not set; it names the configuration file")?;
         let text = std::fs::read(&path).map_err(|e| format!("GW_CONFIG: {path}: {e}"))?;
         let raw: RawConfig<'_> = from_json(&text).map_err(|e| format!("{path}: {e}"))?;
@@ -421,6 +429,8 @@
             let text = either(env, key, value)?;
             text.parse().map_err(|_| format!("{env} or {key}: {text:?} is not an address with a port"))
         };
+        let in_file = raw.discovery.as_deref().filter(|text| !text.is_empty());
+        let in_file = in_file.map(str::parse).transpose();
         let seed = u64::from_str_radix(&raw.seed, 16);
         let site = Site::new(&raw.settings).map_err(|e| format!("{path}: {e}"))?;
         if raw.settings.grades.is_empty() {
@@ -435,6 +445,8 @@
             name: either("GW_NAME", "name", &raw.name)?,
             listen: address("GW_LISTEN", "listen", &raw.listen)?,
             discovery: address("GW_DISCOVERY", "discovery", &raw.discovery)?,
+            discovery_in_file: in_file
+                .map_err(|_| format!("{path}: discovery: not an address with a port"))?,
             seed: seed.map_err(|_| format!("{path}: seed: {:?} is not 16 hex digits", raw.seed))?,
             sockets,
             known: HostList::new(known).map_err(|e| format!("{path}: known.{e}"))?,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -41,6 +41,8 @@
     pub upstream_connect: Duration,
     /// An upstream connection between requests is kept so long.
     pub upstream_idle: Duration,
+    /// How long opening a connection to discovery may take.
+    pub discovery_connect: Duration,
     /// How long discovery may take to answer a watch.
     pub discovery_answer: Duration,
     /// Silence after which a watch is given up; an empty line comes every 2 s.
@@ -79,6 +81,7 @@
             caller_linger: Duration::from_secs(1),
             upstream_connect: config.dial_timeout.map_or(Duration::from_millis(250), time),
             upstream_idle: time(config.site.settings.idle_close) * 2 / 3,
+            discovery_connect: Duration::from_secs(1),
             discovery_answer: Duration::from_millis(3500),
             discovery_silence: Duration::from_millis(4500),
             sweep: Duration::from_millis(500),
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,11 +20,13 @@
 }
 
 fn run() -> Result<(), String> {
-    let config = Config::read(|name| std::env::var(name).ok())?;
+    // The signals are blocked before anything else: from here on none of them ends the process by itself,
+    // nor the log's thread, which inherits this.
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]);
+    let signals = signals.map_err(|e| format!("signals: {e}"))?;
+    let config = Config::from_environment()?;
     let limits = Limits::new(&config);
-    // The signals are blocked before the log's thread starts, so that none of them ends the process there.
-    let terminate = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("signals: {e}"))?;
     let lines = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr())).build().fuse();
     let lines = slog_async::Async::new(lines).chan_size(limits.log_lines).build().fuse();
-    net::serve(config, limits, Logger::root(lines, o!()), terminate)
+    net::serve(config, limits, Logger::root(lines, o!()), signals)
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -39,9 +39,22 @@
 }
 
 impl Proxy {
-    /// Asks for changes from the version held on; ends a watch that is there.
+    /// Goes over to a discovery service at another address. What its versions count is its own affair, so it
+    /// is asked for all, and at once: what it has to tell must not wait for the old one to go away.
+    pub fn follow_discovery(&mut self, address: SocketAddr) {
+        if address != self.discovery.address {
+            info!(self.net.log, "discovery has moved"; "from" => %self.discovery.address, "to" => %address);
+            self.end_watch();
+            (self.discovery.address, self.discovery.version) = (address, 0);
+            self.start_watch();
+        }
+    }
+
+    /// Asks for changes from the version held on, unless a watch is there.
     pub fn start_watch(&mut self) {
-        self.end_watch();
+        if self.discovery.watch.is_some() {
+            return;
+        }
         let number = self.net.number();
         let ready = move |proxy: &mut Proxy, r: calloop::Readiness| proxy.discovery_ready(number, r.writable);
         let socket = match super::connect(self.discovery.address).and_then(|s| self.net.watch(s, ready)) {
@@ -58,7 +71,7 @@
             input: Vec::new(),
             chunks: None,
             line: Vec::new(),
-            deadline: Instant::now() + self.net.limits.discovery_answer,
+            deadline: Instant::now() + self.net.limits.discovery_connect,
         });
     }
 
@@ -84,6 +97,7 @@
     fn discovery_ready(&mut self, number: u64, writable: bool) {
         let Some(watch) = self.discovery.watch.as_mut().filter(|w| w.number == number) else { return };
         if watch.written < watch.output.len() && writable {
+            watch.deadline = Instant::now() + self.net.limits.discovery_answer;
             if let Err(e) = super::write(&watch.socket.stream, &watch.output, &mut watch.written) {
                 return self.watch_failed(&e.to_string());
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,17 +1,19 @@
 //! The real balancer round the module: sockets in, decisions asked, sockets out.
 //!
 //! [`http`] is the codec, [`callers`] and [`upstreams`] hold the connections, [`discovery`] the watch,
-//! [`exchange`] the life of a request between them, and [`shutdown`] the end. [`Proxy`] is the state that
-//! the event loop hands to each of them.
+//! [`exchange`] the life of a request between them, [`reload`] a new configuration, and [`shutdown`] the end.
+//! [`Proxy`] is the state that the event loop hands to each of them.
 
 pub mod callers;
 pub mod discovery;
 pub mod exchange;
 pub mod http;
+pub mod reload;
 pub mod shutdown;
 pub mod upstreams;
 
 use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use garnettally::config::Config;
 use garnettally::facade::{Decisions, Micros, Report};
@@ -58,6 +60,7 @@
     pub upstreams: upstreams::Upstreams,
     pub discovery: discovery::Discovery,
     pub exchanges: exchange::Exchanges,
+    pub reload: reload::Reload,
     pub shutdown: shutdown::Shutdown,
     next_sweep: Instant,
 }
@@ -156,12 +159,7 @@
 }
 
 /// Serves until nothing is owed after SIGTERM.
-pub fn serve(
-    config: Config,
-    limits: Limits,
-    log: Logger,
-    terminate: calloop::signals::Signals,
-) -> Result<(), String> {
+pub fn serve(config: Config, limits: Limits, log: Logger, signals: Signals) -> Result<(), String> {
     let mut events: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(|e| e.to_string())?;
     let clock = Clock::new();
     let net =
@@ -176,6 +174,7 @@
         callers: listening,
         upstreams: upstreams::Upstreams::default(),
         discovery: discovery::Discovery::new(config.discovery, config.known.seq),
+        reload: reload::Reload::new(config.discovery_in_file),
         exchanges: exchange::Exchanges::default(),
         shutdown: shutdown::Shutdown::default(),
         next_sweep: now,
@@ -183,7 +182,10 @@
     };
     events
         .handle()
-        .insert_source(terminate, |_, _, proxy| proxy.begin_shutdown())
+        .insert_source(signals, |event, _, proxy| match event.signal() {
+            Signal::SIGHUP => proxy.reload(),
+            _ => proxy.begin_shutdown(),
+        })
         .map_err(|e| e.to_string())?;
     proxy.exchanges.queue(Report::Known(config.known), now);
     while !proxy.finished() {
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -287,9 +287,45 @@
     let at = free_address();
     let example =
         std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/example.json")).unwrap();
-    let child = program(&example).env("GW_LISTEN", at.to_string()).spawn().unwrap();
-    let b = Balancer { address: at, child };
-    until("readiness", || std::net::TcpStream::connect(at).is_ok() && b.ask(READY).status() == 200);
+    let b = Balancer::spawn(at, &example, |command| {
+        command.env("GW_LISTEN", at.to_string());
+    });
+    assert_eq!(b.ask(READY).status(), 200);
+}
+
+/// Guards against an end by SIGHUP, against a balancer that stays with a discovery that the file no longer
+/// names, though the environment had the first word at the start, and against use of a faulty file.
+#[test]
+fn sighup_follows_discovery_and_keeps_what_works() {
+    let (old, new) = (Upstream::start(|_| ok("old")), Upstream::start(|_| ok("new")));
+    let (before, after) = (Discovery::start(), Discovery::start());
+    let at = free_address();
+    let text = |discovery| config(at, discovery, 1024, &[host("s1", old.address, 0, "SERVING")]);
+    let log = config_file("");
+    let mut b = Balancer::spawn(at, &text(before.address), |command| {
+        let log = std::fs::File::options().append(true).open(&log).unwrap();
+        command.env("GW_DISCOVERY", before.address.to_string()).stderr(log);
+    });
+    let (_, mut first) = before.watch();
+    let mut kept = b.client();
+    assert_eq!(kept.ask(&look("1.2")).body, b"old");
+
+    std::fs::write(&b.config, text(after.address).replace("\"SloUs\":6000000", "\"SloUs\":-1")).unwrap();
+    b.signal("HUP");
+    until("the faulty key in the log", || {
+        std::fs::read_to_string(&log).unwrap().contains("settings.Grades[1].SloUs")
+    });
+    assert_eq!(kept.ask(&look("1.2")).body, b"old");
+    assert!(!first.ended(), "a faulty file was followed");
+
+    std::fs::write(&b.config, text(after.address)).unwrap();
+    b.signal("HUP");
+    let (asked, mut second) = after.watch();
+    assert!(asked.contains("index=0 "), "another service counts its own versions: {asked}");
+    until("the old watch's end", || first.ended());
+    second.chunk(&format!("{}\n", list(1, true, &[host("s2", new.address, 0, "SERVING")])));
+    until("its hosts", || kept.ask(&look("1.2")).body == b"new");
+    assert!(b.child.try_wait().unwrap().is_none());
 }
 
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -194,6 +194,8 @@
 pub struct Balancer {
     pub address: SocketAddr,
     pub child: Child,
+    /// Its configuration file.
+    pub config: String,
 }
 
 static CONFIGS: AtomicU32 = AtomicU32::new(0);
@@ -208,8 +210,13 @@
 
 /// The command that starts the program on this configuration.
 pub fn program(config: &str) -> Command {
+    program_on(&config_file(config))
+}
+
+/// The same with the configuration in a file that is there.
+pub fn program_on(file: &str) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_garnettally"));
-    command.env("GW_CONFIG", config_file(config)).stdout(Stdio::null()).stderr(Stdio::null());
+    command.env("GW_CONFIG", file).stdout(Stdio::null()).stderr(Stdio::null());
     command
 }
 
@@ -237,8 +244,15 @@
 
     pub fn with_sockets(discovery: &Discovery, known: &[String], sockets: u32) -> Balancer {
         let address = free_address();
-        let child = program(&config(address, discovery.address, sockets, known)).spawn().unwrap();
-        let b = Balancer { address, child };
+        Balancer::spawn(address, &config(address, discovery.address, sockets, known), |_| {})
+    }
+
+    /// Starts it on this configuration, at this address, and waits until it is ready.
+    pub fn spawn(address: SocketAddr, text: &str, change: impl Fn(&mut Command)) -> Balancer {
+        let config = config_file(text);
+        let mut command = program_on(&config);
+        change(&mut command);
+        let b = Balancer { address, child: command.spawn().unwrap(), config };
         until("readiness", || TcpStream::connect(address).is_ok() && b.ask(READY).status() == 200);
         b
     }
