Try what upstreams turn away with 4xx once, and refuse an id that is in use

A 4xx that speaks of the request itself is now its answer, passed on whole, and tells the module nothing of the upstream (Code::Rejected; no rule in src/rules.rs changed). A second request under an id that is open here is turned away with 400 before any upstream sees it; the id is free again once the first is over.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -289,6 +289,9 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// The server says that the request itself is at fault, and that is its answer. It tells nothing of the
+    /// server, and another one would say the same.
+    Rejected,
 }
 
 /// A server's load report; absent values are not known.
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -234,7 +234,7 @@
                             self.take_request(id, &call).map_err(|unfit| match unfit {
                                 Unfit::Class => Bad(404),
                                 Unfit::Method => Bad(405),
-                                Unfit::NoKey => Bad(400),
+                                Unfit::NoKey | Unfit::IdInUse => Bad(400),
                             })
                         });
                         match (taken, self.callers.conns.get_mut(&id)) {
@@ -264,7 +264,7 @@
     /// Gives a request its final answer, and the connection's next request its turn.
     pub fn answer_caller(&mut self, id: ConnId, answer: Final<'_>) {
         match answer {
-            Final::Served(a) => self.write_answer(id, 200, &a.headers, &a.body),
+            Final::Passed(a) => self.write_answer(id, a.status, &a.headers, &a.body),
             Final::Failed => self.write_answer(id, 502, &[], &[]),
             Final::Refused { retry_after } => {
                 let advice = retry_after.map(|t| format!("Retry-After: {:.3}\r\n", t.as_secs_f64()));
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -5,7 +5,7 @@
 use super::{ConnId, Proxy};
 use garnettally::config::key;
 use garnettally::facade::{Ask, Code, Decision, Effect, Listed, Micros, Report, RequestId};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{debug, info};
 use std::time::{Duration, Instant};
 
@@ -17,12 +17,14 @@
     Method,
     /// Its class wants a key, and it has none.
     NoKey,
+    /// It has the id of a request that is still open.
+    IdInUse,
 }
 
 /// The one answer that every request gets.
 pub enum Final<'a> {
-    /// An upstream's.
-    Served(&'a Answer),
+    /// An upstream's: served, or turned away for what it is.
+    Passed(&'a Answer),
     /// Trying again is harmless.
     Refused { retry_after: Option<Duration> },
     /// Nothing is promised.
@@ -32,6 +34,7 @@
 /// One request that has been taken.
 struct Exchange {
     caller: ConnId,
+    id: String,
     request: Box<Request>,
     /// Attempts so far, and those of them that are out.
     sends: u32,
@@ -50,6 +53,8 @@
 #[derive(Default)]
 pub struct Exchanges {
     open: FxHashMap<RequestId, Exchange>,
+    /// The ids of those that wait for their answer.
+    ids: FxHashSet<String>,
     next: u64,
     news: Vec<News>,
     first_news: Option<Instant>,
@@ -76,7 +81,15 @@
 
     /// Whether a request still waits for its answer.
     pub fn owes(&self) -> bool {
-        self.open.values().any(|x| !x.over)
+        !self.ids.is_empty()
+    }
+
+    /// The caller who waits for this request's answer, which is due or needed no more; `None`: nobody does.
+    fn conclude(&mut self, number: RequestId) -> Option<ConnId> {
+        let x = self.open.get_mut(&number).filter(|x| !x.over)?;
+        x.over = true;
+        self.ids.remove(&x.id);
+        Some(x.caller)
     }
 }
 
@@ -96,6 +109,9 @@
             Effect::Keyed { .. } if !call.keyed => return Err(Unfit::NoKey),
             _ => {}
         }
+        if !self.exchanges.ids.insert(call.id.to_string()) {
+            return Err(Unfit::IdInUse);
+        }
         let micros = |d: Duration| Micros(d.as_micros() as i64);
         self.exchanges.next += 1;
         let number = RequestId(self.exchanges.next);
@@ -108,7 +124,8 @@
             repeat: call.repeat,
             key: call.subject.map(key),
         };
-        let exchange = Exchange { caller, request: Box::default(), sends: 0, out: 0, over: false };
+        let id = call.id.to_string();
+        let exchange = Exchange { caller, id, request: Box::default(), sends: 0, out: 0, over: false };
         self.exchanges.open.insert(number, exchange);
         self.exchanges.add(News::Asked(ask), now);
         Ok(number)
@@ -116,23 +133,23 @@
 
     /// The client has closed its connection.
     pub fn client_gone(&mut self, request: RequestId) {
-        if let Some(x) = self.exchanges.open.get_mut(&request).filter(|x| !x.over) {
-            x.over = true;
+        if self.exchanges.conclude(request).is_some() {
             self.exchanges.queue(Report::Gone(request), Instant::now());
         }
     }
 
-    /// An attempt has ended: the first one served is the answer, at once. The rest is for the module.
+    /// An attempt has ended: the first one served is the answer, at once, and so is the word that the request
+    /// itself is at fault. The rest is for the module.
     pub fn attempt_ended(&mut self, ended: Ended) {
         let (request, attempt) = ended.attempt;
         let Some(x) = self.exchanges.open.get_mut(&request) else { return };
         x.out -= 1;
-        let mut served = None;
-        if ended.code == Code::Ok && !x.over {
-            x.over = true;
-            served = Some(x.caller);
-        }
-        let answered = x.over;
+        let over = x.over;
+        let passed = match ended.code {
+            Code::Ok | Code::Rejected => self.exchanges.conclude(request),
+            _ => None,
+        };
+        let answered = over || passed.is_some();
         if ended.code != Code::Ok {
             debug!(self.net.log, "attempt"; "request" => request.0, "ended" => ?ended.code,
                 "ms" => ended.latency.as_millis() as u64);
@@ -141,8 +158,8 @@
         let (code, latency) = (ended.code, ended.latency);
         let report = Report::Ended { request, attempt, code, latency, held, answered };
         self.exchanges.queue(report, Instant::now());
-        if let (Some(caller), Some(answer)) = (served, ended.answer) {
-            self.answer_caller(caller, Final::Served(&answer));
+        if let (Some(caller), Some(answer)) = (passed, ended.answer) {
+            self.answer_caller(caller, Final::Passed(&answer));
         }
     }
 
@@ -253,9 +270,7 @@
 
     /// The module's final answer, if the request has had none.
     fn finish(&mut self, request: RequestId, answer: Final<'_>) {
-        let Some(x) = self.exchanges.open.get_mut(&request).filter(|x| !x.over) else { return };
-        x.over = true;
-        let caller = x.caller;
+        let Some(caller) = self.exchanges.conclude(request) else { return };
         self.forget(request);
         self.answer_caller(caller, answer);
     }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -47,6 +47,7 @@
 /// What a request asks for, in plain values; nothing here is of HTTP.
 #[derive(Debug)]
 pub struct Call<'a> {
+    pub id: &'a str,
     pub class: &'a str,
     /// What it concerns: requests that share it belong together.
     pub subject: Option<&'a str>,
@@ -69,15 +70,14 @@
         value.ok_or(Bad(400))
     };
     let cost = r.cost.as_deref().map(|c| number(c, 1e12)).transpose()?;
-    if r.id.as_ref().is_none_or(|id| id.is_empty()) {
-        return Err(Bad(400));
-    }
+    let id = r.id.as_deref().filter(|id| !id.is_empty()).ok_or(Bad(400))?;
     let read_only = match &*r.method {
         "GET" => true,
         "POST" => false,
         _ => return Err(Bad(405)),
     };
     Ok(Call {
+        id,
         class: path.strip_prefix('/').ok_or(Bad(400))?.split('/').next().unwrap_or(""),
         subject: query.split('&').find_map(|pair| pair.strip_prefix("key=")),
         owner: r.owner.as_deref(),
--- a/src/net/upstreams.rs
+++ b/src/net/upstreams.rs
@@ -242,6 +242,8 @@
         let code = match answer.status {
             200 => Code::Ok,
             503 | 504 if answer.declined => Code::Full,
+            // Of the request, not of the upstream; three statuses say that a later try may do.
+            400..=499 if !matches!(answer.status, 408 | 425 | 429) => Code::Rejected,
             _ => Code::Error,
         };
         let whole = conn.written == conn.output.len();
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -349,3 +349,49 @@
         assert!(!output.status.success() && said.contains(key), "{key}: {said}");
     }
 }
+
+/// Guards against trying again what no upstream can use: each try cost the others' retries, and upstreams that
+/// said 400 were taken for failing ones and left out.
+#[test]
+fn a_request_that_upstreams_turn_away_is_tried_once_and_blamed_on_none() {
+    let picky = |m: &Message| match m.start.contains("bad") {
+        true => error(400, "X-Why: id\r\n"),
+        false => ok("x"),
+    };
+    let ups = [Upstream::start(picky), Upstream::start(picky)];
+    let hosts = [host("s0", ups[0].address, 0, "SERVING"), host("s1", ups[1].address, 0, "SERVING")];
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &hosts);
+    let mut client = b.client();
+    for n in 1..30 {
+        let answer = client.ask(&look("1.2").replace("/part", "/bad"));
+        assert_eq!((answer.status(), answer.header("x-why")), (400, Some("id")));
+        assert_eq!(ups[0].count() + ups[1].count(), n, "tried again");
+    }
+    let before = [ups[0].count(), ups[1].count()];
+    (0..60).for_each(|_| assert_eq!(client.ask(&look("1.2")).status(), 200));
+    assert!(ups.iter().zip(before).all(|(up, n)| up.count() > n + 10), "an upstream was left out");
+}
+
+/// Guards against a second request under the id of an open one: upstreams tell requests apart by their ids.
+#[test]
+fn an_id_that_is_in_use_is_turned_away() {
+    let (let_go, held) = std::sync::mpsc::channel::<()>();
+    let held = std::sync::Mutex::new(held);
+    let up = Upstream::start(move |_| {
+        held.lock().unwrap().recv().unwrap();
+        ok("x")
+    });
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let request = book("5", "x");
+    let mut first = b.client();
+    first.send(&request);
+    until("the attempt", || up.opened.load(Ordering::SeqCst) == 1);
+    assert_eq!(b.ask(&request).status(), 400);
+    let_go.send(()).unwrap();
+    assert_eq!(first.answer().expect("an answer").status(), 200);
+    // Once answered, the id is free: a client that lost its connection may ask again.
+    let_go.send(()).unwrap();
+    assert_eq!((first.ask(&request).status(), up.count()), (200, 2));
+}
