Try a failed attempt again while it has a fair chance to be in time

Checked: retry tokens were there, upstreams too; the silent attempts are heavy requests (1.0 s to 1.2 s of work), not lost ones. At fault: again() asks value() whether 1.5 times the expected time is left (IN_TIME). That margin is for admission in a crowd.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,6 +45,7 @@
 const RETRY_RATIO: f64 = 0.1; // calls paid for again, earned by one request
 const RETRY_PERIODS: f64 = 25.0; // saved up over so many periods
 const RETRY_LEAST: f64 = 2.0; // and this many at the least
+const RETRY_IN_TIME: f64 = 0.75; // the same for a retry: a chance of one in five is worth more than it costs
 const RETRY_COST: f64 = 0.2; // least cost of a retry, however quickly the attempt before it failed
 const QUOTA_SECONDS: f64 = 5.0; // quota saved up by a tenant: chance must not look like excess
 const QUOTA_LEAST: f64 = 2.0; // in requests
@@ -309,11 +310,11 @@
     }
 
     /// What a request is worth if sent now: late answers earn less, past the deadline nothing does.
-    fn value(&self, id: RequestId, r: &Request) -> f64 {
+    fn value(&self, id: RequestId, r: &Request, in_time: f64) -> f64 {
         let class = &self.set.classes[r.class];
         // Those that share its key run before it, one at a time; the one that has the turn is on its way.
         let turn = r.key.and_then(|k| self.turns.get(&k)?.queue.iter().position(|&q| q == id));
-        let expected = IN_TIME * self.line.at(r.price) * turn.unwrap_or(0).max(1) as f64;
+        let expected = in_time * self.line.at(r.price) * turn.unwrap_or(0).max(1) as f64;
         let expected = Micros(expected as i64);
         let share = if r.over_share { self.set.over_share_worth } else { 1.0 };
         let per_work = if self.set.worth_by_work { 1.0 } else { self.st.cr / r.price.max(1.0) };
@@ -336,7 +337,7 @@
     fn drain_held(&mut self, actions: &mut Vec<Action>) {
         let mut waiting: Vec<(f64, Micros, RequestId)> = Vec::new();
         for id in std::mem::take(&mut self.held) {
-            match self.requests.get(&id).map(|r| (r, self.value(id, r))).filter(|(r, _)| !r.over) {
+            match self.requests.get(&id).map(|r| (r, self.value(id, r, IN_TIME))).filter(|(r, _)| !r.over) {
                 Some((r, v)) if r.expires > self.now && v > 0.0 => waiting.push((v, self.aim_at(r), id)),
                 Some(_) => self.finish(id, actions),
                 None => {}
@@ -546,7 +547,7 @@
     /// overload. What failed at once has cost little, and is cheap to try again.
     fn again(&mut self, id: RequestId, spent: f64, actions: &mut Vec<Action>) {
         let cost = spent.clamp(RETRY_COST, 1.0);
-        let hopeful = |r: &Request| self.value(id, r) > 0.0 && self.fault(r) < STRUCK;
+        let hopeful = |r: &Request| self.value(id, r, RETRY_IN_TIME) > 0.0 && self.fault(r) < STRUCK;
         let hopeful = self.requests.get(&id).is_some_and(hopeful);
         if !hopeful || self.retry_tokens < cost {
             return self.finish(id, actions);
@@ -809,7 +810,7 @@
                 && r.attempts.len() < self.set.max_attempts as usize;
             // A hung attempt must not cost those that wait for its key their time.
             let behind = r.key.and_then(|k| self.turns.get(&k)).is_some_and(|t| t.queue.len() > 1);
-            if behind || (again && self.retry_tokens >= 1.0 && self.value(id, r) > 0.0) {
+            if behind || (again && self.retry_tokens >= 1.0 && self.value(id, r, IN_TIME) > 0.0) {
                 actions.push(Action::Cancel { id, attempt });
             }
         }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -59,6 +59,24 @@
     }
 }
 
+/// Guards against giving up what a retry would serve in one case of three: the margin of a first send is meant
+/// for crowds, and a spoilt answer is none. Past hope it ends at once all the same.
+#[test]
+fn a_spoilt_attempt_is_tried_again_while_there_is_a_fair_chance() {
+    let mut t = Bench::new(settings(Effect::Safe), 10);
+    for id in 1..60 {
+        t.ask(id, 300_000);
+        t.now += Micros(300_000);
+        t.end(id, 0, Code::Ok, 300_000, None);
+    }
+    for (id, spoilt_after, again) in [(100, 700_000, true), (101, 850_000, false)] {
+        assert!(t.ask(id, 300_000).is_some());
+        t.now += Micros(spoilt_after);
+        t.end(id, 0, Code::Reset, spoilt_after, None);
+        assert_eq!(t.sent().is_some(), again, "after {spoilt_after}");
+    }
+}
+
 fn server(id: u32) -> ServerNews {
     ServerNews { server: ServerId(id), cell: i64::from(id), ..ServerNews::default() }
 }
