Serve kept connections for 2 s after SIGTERM, and answer before the kill

Ruled out: losses by the reload itself (the windows before are at 95% and 100%), and a later restart by staying longer (n0 and n1 both came back 4.4 s after their SIGTERM, having ended 1.9 s and 1.3 s after it). At fault: drain_keep and drain_accept in src/limits.rs.

Clients use their connections for as long as these stay open, so they now stay for 0.6 of the time that is left until the earliest SIGKILL, and whatever is taken after SIGTERM has its deadline cut to 0.2 s before it.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -61,6 +61,8 @@
     /// The limits that follow from the configuration.
     pub fn new(config: &Config) -> Limits {
         let time = |m: Micros| Duration::from_micros(m.0.max(0) as u64);
+    /// What is taken after SIGTERM is answered within so long of it: SIGKILL may follow.
+    pub drain_answer: Duration,
         // Listener, loop, signals, discovery, standard streams and room for what is about to close.
         let connections = config.sockets - (config.sockets / 16).max(24);
         Limits {
@@ -69,6 +71,10 @@
             headers: 64,
             body_bytes: 64 << 10,
             message_bytes: 96 << 10,
+        // SIGKILL follows SIGTERM no sooner than the longest deadline, taken as 3 s at the most, and 0.7 s.
+        let deadlines = config.site.settings.classes.iter().map(|c| time(c.deadline));
+        let longest = deadlines.max().unwrap_or_default().min(Duration::from_secs(3));
+        let drain_answer = longest + Duration::from_millis(500);
             read_bytes: 16 << 10,
             chunk_line_bytes: 4 << 10,
             line_bytes: 4 << 20,
@@ -84,9 +90,10 @@
             discovery_connect: Duration::from_secs(1),
             discovery_answer: Duration::from_millis(3500),
             discovery_silence: Duration::from_millis(4500),
-            sweep: Duration::from_millis(500),
-            drain_keep: Duration::from_millis(500),
-            drain_accept: Duration::from_millis(700),
+            sweep: Duration::from_millis(250),
+            drain_keep: drain_answer.mul_f64(0.6),
+            drain_accept: drain_answer.mul_f64(0.6) + Duration::from_millis(200),
+            drain_answer,
             log_lines: 1024,
         }
     }
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -113,13 +113,14 @@
             return Err(Unfit::IdInUse);
         }
         let micros = |d: Duration| Micros(d.as_micros() as i64);
+        let expires = self.net.clock.at(now) + micros(call.deadline);
         self.exchanges.next += 1;
         let number = RequestId(self.exchanges.next);
         let ask = Ask {
             request: number,
             class,
             tenant: call.owner.and_then(|t| self.decisions.tenant(t)),
-            expires: self.net.clock.at(now) + micros(call.deadline),
+            expires: self.shutdown.answer_by().map_or(expires, |by| expires.min(self.net.clock.at(by))),
             cost: call.cost.map(micros).filter(|c| c.0 > 0),
             repeat: call.repeat,
             key: call.subject.map(key),
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -10,6 +10,7 @@
 pub struct Shutdown {
     keep_until: Option<Instant>,
     accept_until: Option<Instant>,
+    answer_by: Option<Instant>,
     closing: bool,
     deaf: bool,
 }
@@ -20,6 +21,11 @@
         self.closing
     }
 
+    /// When the last answer is due: who has told the program to end may not wait for longer.
+    pub fn answer_by(&self) -> Option<Instant> {
+        self.answer_by
+    }
+
     /// When its next step is due.
     pub fn next_wake(&self) -> Option<Instant> {
         match (self.closing, self.deaf) {
@@ -38,6 +44,7 @@
             let now = Instant::now();
             self.shutdown.keep_until = Some(now + self.net.limits.drain_keep);
             self.shutdown.accept_until = Some(now + self.net.limits.drain_accept);
+            self.shutdown.answer_by = Some(now + self.net.limits.drain_answer);
         }
     }
 
