Cut slow and silent callers off in 2 s, and let them make room first

Room was made by closing whoever was idle for longest (callers.rs, oldest_idle): a flood of fresh silent connections pushed out the kept ones of usual clients. A kept connection's request was timed from when the connection fell idle.

Now the first request has 2 s from connecting, a later one 2 s from its first byte, idle ones go after 10 s, silent ones make room before kept ones, and one younger than 0.1 s is never closed for room. Lingering reads 256 KiB a turn, not until the sender stops (no test shows that one: the reader outran the senders). Unfinished requests of all callers together hold an eighth of limits.memory_mb at most. Two Content-Length headers, even alike, and chunks in HTTP/1.0 are turned away. A load report of which any part makes no sense is not believed.

--- a/src/config.rs
+++ b/src/config.rs
@@ -377,6 +377,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may use.
+    pub memory_mb: usize,
     /// The list as this balancer last had it.
     pub known: HostList,
     /// The module's settings.
@@ -407,6 +409,7 @@
 #[serde(default)]
 struct RawLimits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 impl Config {
@@ -440,6 +443,10 @@
         if sockets < 64 {
             return Err(format!("{path}: limits.sockets: {sockets} is too few, 64 at the least"));
         }
+        let memory_mb = raw.limits.memory_mb.unwrap_or(192);
+        if memory_mb < 16 {
+            return Err(format!("{path}: limits.memory_mb: {memory_mb} is too little, 16 at the least"));
+        }
         let known = raw.known.unwrap_or(RawList { seq: 0, whole: true, hosts: Vec::new() });
         Ok(Config {
             name: either("GW_NAME", "name", &raw.name)?,
@@ -449,6 +456,7 @@
                 .map_err(|_| format!("{path}: discovery: not an address with a port"))?,
             seed: seed.map_err(|_| format!("{path}: seed: {:?} is not 16 hex digits", raw.seed))?,
             sockets,
+            memory_mb,
             known: HostList::new(known).map_err(|e| format!("{path}: known.{e}"))?,
             dial_timeout: raw.settings.limits.dial_timeout_us.map(Micros),
             site,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -19,6 +19,8 @@
     pub message_bytes: usize,
     /// What one read takes from a socket.
     pub read_bytes: usize,
+    /// What the buffers of a connection keep for its next message: idle connections are many.
+    pub kept_bytes: usize,
     /// The longest line between chunks.
     pub chunk_line_bytes: usize,
     /// The longest line of discovery.
@@ -33,10 +35,16 @@
     pub accept_rest: Duration,
     /// A caller connection between requests is kept so long.
     pub caller_idle: Duration,
-    /// A caller has so long to finish sending a request that it began.
+    /// A caller has so long to send its first request after connecting, and each later one once begun.
     pub caller_request: Duration,
+    /// A caller connection younger than this is not closed to make room: its request is on its way.
+    pub caller_fresh: Duration,
     /// A connection closed for bad input is read on for so long, so that the answer arrives.
     pub caller_linger: Duration,
+    /// And so much of it at a time, so that others have their turn.
+    pub caller_discard: usize,
+    /// What caller connections may hold of unfinished requests together.
+    pub caller_bytes: usize,
     /// How long opening a connection to an upstream may take.
     pub upstream_connect: Duration,
     /// An upstream connection between requests is kept so long.
@@ -53,6 +61,8 @@
     pub drain_keep: Duration,
     /// And new ones are accepted for so long.
     pub drain_accept: Duration,
+    /// What is taken after SIGTERM is answered within so long of it: SIGKILL may follow.
+    pub drain_answer: Duration,
     /// Log lines that may wait to be written; past them lines are dropped.
     pub log_lines: usize,
 }
@@ -61,8 +71,10 @@
     /// The limits that follow from the configuration.
     pub fn new(config: &Config) -> Limits {
         let time = |m: Micros| Duration::from_micros(m.0.max(0) as u64);
-    /// What is taken after SIGTERM is answered within so long of it: SIGKILL may follow.
-    pub drain_answer: Duration,
+        // SIGKILL follows SIGTERM no sooner than the longest deadline, taken as 3 s at the most, and 0.7 s.
+        let deadlines = config.site.settings.classes.iter().map(|c| time(c.deadline));
+        let longest = deadlines.max().unwrap_or_default().min(Duration::from_secs(3));
+        let drain_answer = longest + Duration::from_millis(500);
         // Listener, loop, signals, discovery, standard streams and room for what is about to close.
         let connections = config.sockets - (config.sockets / 16).max(24);
         Limits {
@@ -71,20 +83,20 @@
             headers: 64,
             body_bytes: 64 << 10,
             message_bytes: 96 << 10,
-        // SIGKILL follows SIGTERM no sooner than the longest deadline, taken as 3 s at the most, and 0.7 s.
-        let deadlines = config.site.settings.classes.iter().map(|c| time(c.deadline));
-        let longest = deadlines.max().unwrap_or_default().min(Duration::from_secs(3));
-        let drain_answer = longest + Duration::from_millis(500);
             read_bytes: 16 << 10,
+            kept_bytes: 4 << 10,
             chunk_line_bytes: 4 << 10,
             line_bytes: 4 << 20,
             backlog: 1024,
             callers: connections * 5 / 8,
             connections,
             accept_rest: Duration::from_millis(20),
-            caller_idle: Duration::from_secs(120),
-            caller_request: Duration::from_secs(10),
-            caller_linger: Duration::from_secs(1),
+            caller_idle: Duration::from_secs(10),
+            caller_request: Duration::from_secs(2),
+            caller_fresh: Duration::from_millis(100),
+            caller_linger: Duration::from_secs(2),
+            caller_discard: 256 << 10,
+            caller_bytes: (config.memory_mb << 20) / 8,
             upstream_connect: config.dial_timeout.map_or(Duration::from_millis(250), time),
             upstream_idle: time(config.site.settings.idle_close) * 2 / 3,
             discovery_connect: Duration::from_secs(1),
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -33,7 +33,10 @@
     written: usize,
     close: bool,
     continued: bool,
-    /// It fell idle, or its request began, at this time.
+    /// It has brought a whole request.
+    spoke: bool,
+    /// It came up, fell idle, or began its present request, at this time. Its first request has begun when it
+    /// came up: who connects and says nothing is as slow as who sends half a head.
     since: Instant,
 }
 
@@ -42,6 +45,8 @@
     listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     conns: FxHashMap<ConnId, Conn>,
     resume: Option<Instant>,
+    /// Those that had more to throw away than one turn takes.
+    unread: Vec<ConnId>,
 }
 
 impl Callers {
@@ -59,7 +64,12 @@
             Ok(PostAction::Continue)
         });
         let token = token.map_err(|e| io::Error::other(e.error))?;
-        Ok(Callers { listener: Some((listener, token)), conns: FxHashMap::default(), resume: None })
+        Ok(Callers {
+            listener: Some((listener, token)),
+            conns: FxHashMap::default(),
+            resume: None,
+            unread: Vec::new(),
+        })
     }
 
     pub fn len(&self) -> usize {
@@ -71,10 +81,22 @@
         self.resume
     }
 
-    /// The connection between requests that has been so for longest.
-    fn oldest_idle(&self) -> Option<ConnId> {
-        let idle = self.conns.iter().filter(|(_, c)| c.idle());
-        idle.min_by_key(|(_, c)| c.since).map(|(&id, _)| id)
+    /// The connection between requests that is missed least: one that never brought a request, before those
+    /// of the usual clients, who come back to theirs; then the one that has been idle for longest.
+    fn oldest_idle(&self, fresh: Option<Instant>) -> Option<ConnId> {
+        let idle =
+            self.conns.iter().filter(|(_, c)| c.idle() && fresh.is_none_or(|at| c.spoke || c.since <= at));
+        idle.min_by_key(|(_, c)| (c.spoke, c.since)).map(|(&id, _)| id)
+    }
+
+    /// What is held of requests that are not whole, and of those that wait behind another.
+    fn held(&self) -> usize {
+        self.conns.values().map(|c| c.input.len()).sum()
+    }
+
+    /// Whether there is more to throw away.
+    pub fn has_unread(&self) -> bool {
+        !self.unread.is_empty()
     }
 
     fn drop_conn(&mut self, net: &Net, id: ConnId) {
@@ -149,6 +171,7 @@
                 written: 0,
                 close: false,
                 continued: false,
+                spoke: false,
                 since: Instant::now(),
             };
             self.callers.conns.insert(id, conn);
@@ -179,20 +202,52 @@
             return self.caller_left(id);
         }
         // One request and its head at a time; what lies beyond stays in the socket.
-        let most = self.net.limits.message_bytes;
+        let limits = &self.net.limits;
+        let (read_bytes, caller_bytes, discard) =
+            (limits.read_bytes, limits.caller_bytes, limits.caller_discard);
+        let most = if conn.state == State::Reading { limits.message_bytes } else { read_bytes };
+        let was_idle = conn.idle();
         let mut reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
+        let mut discarded = 0;
         while conn.state == State::Lingering && !conn.input.is_empty() {
+            discarded += conn.input.len();
             conn.input.clear();
+            if discarded >= discard {
+                return self.callers.unread.push(id);
+            }
             reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
         }
+        if was_idle && conn.spoke && !conn.input.is_empty() {
+            conn.since = Instant::now();
+        }
+        let large = conn.input.len() > read_bytes;
         match (reading, conn.state) {
-            (Reading::Open, State::Reading) => self.take_requests(id),
+            (Reading::Open, State::Reading) => {
+                self.take_requests(id);
+                if large && self.callers.held() > caller_bytes {
+                    self.reject_unfinished(id);
+                }
+            }
             (Reading::Open, _) => {}
             // What came before the end may be a whole request, but nobody waits for its answer any more.
             (Reading::Ended | Reading::Broken, _) => self.caller_left(id),
         }
     }
 
+    /// Goes on throwing away what could not be in one turn.
+    pub fn resume_discarding(&mut self) {
+        for id in std::mem::take(&mut self.callers.unread) {
+            self.caller_ready(id);
+        }
+    }
+
+    /// All callers together hold too much: this one, which holds much, gives it up, if it is not whole.
+    fn reject_unfinished(&mut self, id: ConnId) {
+        if self.callers.conns.get(&id).is_some_and(|c| c.state == State::Reading && !c.input.is_empty()) {
+            self.reject_caller(id, Bad(413));
+        }
+    }
+
     fn caller_left(&mut self, id: ConnId) {
         let Some(conn) = self.callers.conns.remove(&id) else { return };
         let state = conn.state;
@@ -223,8 +278,8 @@
                 }
                 Ok(Incoming::Whole(request, used)) => {
                     conn.input.drain(..used);
-                    conn.input.shrink_to(self.net.limits.read_bytes);
-                    (conn.continued, conn.since) = (false, Instant::now());
+                    conn.input.shrink_to(self.net.limits.kept_bytes);
+                    (conn.continued, conn.spoke, conn.since) = (false, true, Instant::now());
                     conn.close = !request.keep_alive;
                     if request.path() == "/ready" {
                         let status = if self.ready() { 200 } else { 503 };
@@ -257,6 +312,7 @@
         debug!(self.net.log, "a request was not understood"; "status" => status);
         if let Some(conn) = self.callers.conns.get_mut(&id) {
             conn.close = true;
+            conn.input = Vec::new();
         }
         self.write_answer(id, status, &[], &[]);
     }
@@ -286,7 +342,10 @@
         conn.state = if conn.close { State::Lingering } else { State::Reading };
         conn.since = Instant::now();
         if flush(conn).is_err() {
-            self.caller_left(id);
+            return self.caller_left(id);
+        }
+        if conn.output.is_empty() {
+            conn.output.shrink_to(self.net.limits.kept_bytes);
         }
     }
 
@@ -300,8 +359,13 @@
                 State::Waiting(_) => {}
                 State::Lingering if c.written < c.output.len() && age < limits.caller_request => {}
                 State::Lingering if age >= limits.caller_linger => old.push(id),
-                State::Reading if c.idle() && age >= limits.caller_idle => old.push(id),
-                State::Reading if !c.idle() && age >= limits.caller_request => slow.push(id),
+                State::Reading if c.idle() => {
+                    let most = if c.spoke { limits.caller_idle } else { limits.caller_request };
+                    if age >= most {
+                        old.push(id);
+                    }
+                }
+                State::Reading if age >= limits.caller_request => slow.push(id),
                 _ => {}
             }
         }
@@ -319,7 +383,10 @@
     /// Closes the connection that has been between requests for longest. One whose next request lies in the
     /// socket is not between requests: that request is taken, and closing would lose it.
     pub fn close_idle_caller(&mut self) -> bool {
-        while let Some(id) = self.callers.oldest_idle() {
+        // At the end all have to go; to make room, only those that are not about to ask.
+        let fresh =
+            Instant::now().checked_sub(self.net.limits.caller_fresh).filter(|_| !self.shutdown.closing());
+        while let Some(id) = self.callers.oldest_idle(fresh) {
             let Some(conn) = self.callers.conns.get(&id) else { return false };
             if conn.socket.stream.peek(&mut [0]).is_ok_and(|n| n > 0) {
                 self.caller_ready(id);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -131,7 +131,10 @@
         return Err(Bad(400));
     }
     let framing = match (fields.chunked, fields.length) {
-        (true, Some(_)) => return Err(Bad(400)), // the mark of a smuggled request
+        // The marks of a smuggled request: who reads it otherwise finds another one in its body.
+        (true, Some(_)) => return Err(Bad(400)),
+        (true, None) if version == 0 => return Err(Bad(400)),
+        _ if fields.lengths > 1 => return Err(Bad(400)),
         (true, None) => Framing::Chunked,
         (false, length) => Framing::Length(length.unwrap_or(0)),
     };
@@ -205,16 +208,23 @@
 }
 
 /// The requests that a load report says to be held. It has the settings' name for them, or the other one in
-/// use for the same figure.
+/// use for the same figure. A report of which any part makes no sense is not believed.
 fn held(report: &str) -> Option<f64> {
-    let pairs = report.trim().strip_prefix("TEXT")?.split(',').filter_map(|pair| pair.split_once('='));
-    let (_, value) = pairs.into_iter().find(|(name, _)| matches!(name.trim(), "rif" | "inflight"))?;
-    value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)
+    let mut held = None;
+    for pair in report.trim().strip_prefix("TEXT")?.split(',') {
+        let (name, value) = pair.split_once('=')?;
+        let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)?;
+        if matches!(name.trim(), "rif" | "inflight") && held.replace(value).is_some() {
+            return None;
+        }
+    }
+    held
 }
 
 /// What the headers say of the message itself.
 struct Fields {
     length: Option<usize>,
+    lengths: usize,
     chunked: bool,
     keep_alive: bool,
     expects: bool,
@@ -225,7 +235,8 @@
 impl Fields {
     fn read(headers: &[Header<'_>], version: u8) -> Result<Fields, Bad> {
         let (length, chunked, keep_alive) = (None, false, version == 1);
-        let mut f = Fields { length, chunked, keep_alive, expects: false, hosts: 0, named: Vec::new() };
+        let mut f =
+            Fields { length, lengths: 0, chunked, keep_alive, expects: false, hosts: 0, named: Vec::new() };
         for h in headers {
             let is = |name: &str| h.name.eq_ignore_ascii_case(name);
             if is("Content-Length") {
@@ -238,7 +249,7 @@
                 if f.length.is_some_and(|old| old != n) {
                     return Err(Bad(400));
                 }
-                f.length = Some(n);
+                (f.length, f.lengths) = (Some(n), f.lengths + 1);
             } else if is("Transfer-Encoding") {
                 if f.chunked || !h.value.trim_ascii().eq_ignore_ascii_case(b"chunked") {
                     return Err(Bad(400));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -208,11 +208,15 @@
             self.upstreams.sweep(&self.net, now);
         }
         self.resume_accepting(now);
+        self.resume_discarding();
         self.continue_shutdown(now);
         self.consult(now);
     }
 
     fn next_wake(&self) -> Option<Instant> {
+        if self.callers.has_unread() {
+            return Some(Instant::now());
+        }
         let wakes = [
             Some(self.next_sweep),
             self.upstreams.next_deadline(),
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -62,6 +62,7 @@
     let discovery = Discovery::start();
     let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
     let head = "Host: a\r\nReq-Id: 1\r\nReq-Deadline: 1\r\n";
+    let keyed = format!("{head}Idempotency-Key: 1\r\n");
     let long = "a".repeat(20_000);
     let cases = [
         (400, "\u{1}\u{2} nonsense\r\n\r\n".to_string()),
@@ -71,8 +72,10 @@
         (400, "GET /look HTTP/1.1\r\nHost: a\r\nReq-Id: 1\r\nReq-Deadline: NaN\r\n\r\n".into()),
         (400, format!("GET /look HTTP/1.1\r\n{head}Req-Cost: -x\r\n\r\n")),
         (400, format!("POST /book HTTP/1.1\r\n{head}Content-Length: 0\r\n\r\n")),
-        (400, format!("POST /book HTTP/1.1\r\n{head}Content-Length: 1\r\nContent-Length: 2\r\n\r\nab")),
-        (400, format!("POST /book HTTP/1.1\r\n{head}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")),
+        (400, format!("POST /book HTTP/1.1\r\n{keyed}Content-Length: 1\r\nContent-Length: 2\r\n\r\nab")),
+        (400, format!("POST /book HTTP/1.1\r\n{keyed}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")),
+        (400, format!("POST /book HTTP/1.1\r\n{keyed}Content-Length: 1\r\nContent-Length: 1\r\n\r\na")),
+        (400, format!("POST /book HTTP/1.0\r\n{keyed}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")),
         (400, format!("POST /book HTTP/1.1\r\n{head}Transfer-Encoding: chunked\r\n\r\nzz\r\n")),
         (404, format!("GET /other HTTP/1.1\r\n{head}\r\n")),
         (404, format!("GET / HTTP/1.1\r\n{head}\r\n")),
@@ -272,10 +275,12 @@
     slow.send(&book("5", "x"));
     until("the slow attempt", || up.count() == 2);
     b.signal("TERM");
-    // New and kept connections are served for a while yet.
+    // New and kept connections are served for a while yet: clients use them for as long as they are open, and
+    // those of a zone with one balancer have nowhere else to go.
     std::thread::sleep(Duration::from_millis(200));
-    assert_eq!(kept.ask(&look("1.2")).status(), 200);
     assert_eq!(b.ask(&look("1.2")).status(), 200);
+    std::thread::sleep(Duration::from_millis(1000));
+    assert_eq!(kept.ask(&look("1.2")).status(), 200);
     assert_eq!(slow.answer().expect("an answer").status(), 200);
     assert!(b.wait().success());
     assert!(kept.answer().is_none());
@@ -395,3 +400,99 @@
     let_go.send(()).unwrap();
     assert_eq!((first.ask(&request).status(), up.count()), (200, 2));
 }
+
+/// Guards against an answer later than SIGKILL: what is taken after SIGTERM has less time than it asks for.
+#[test]
+fn what_comes_after_sigterm_is_answered_before_the_kill() {
+    let up = Upstream::start(|_| Reply::Silence);
+    let discovery = Discovery::start();
+    let mut b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let mut client = b.client();
+    b.signal("TERM");
+    let told = Instant::now();
+    client.send(&book("6", "x"));
+    assert_eq!(client.answer().expect("an answer").status(), 502);
+    // The longest deadline counts as 3 s here, and 0.7 s more are granted.
+    assert!(told.elapsed() < Duration::from_millis(3700), "{:?}", told.elapsed());
+    assert!(b.wait().success());
+}
+
+/// Guards against callers that hold connections and send no whole request: each is closed within 3 s, with an
+/// error where it began to send. A kept connection's next request has its time from its own first byte.
+#[test]
+fn slow_callers_are_sent_away() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let mut kept = b.client();
+    assert_eq!(kept.ask(&look("1.2")).status(), 200);
+    let start = Instant::now();
+    let (mut silent, mut half) = (b.client(), b.client());
+    half.send("GET /look HTTP/1.1\r\nHost: a\r\nReq-");
+    assert!(silent.answer().is_none_or(|m| m.status() == 408));
+    assert_eq!(half.answer().expect("an error").status(), 408);
+    assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+    let request = look("1.2");
+    let (head, tail) = request.split_at(30);
+    kept.send(head);
+    std::thread::sleep(Duration::from_millis(700));
+    assert_eq!(kept.ask(tail).status(), 200);
+}
+
+/// Guards against a flood of silent connections that pushes out the clients who come back to theirs.
+#[test]
+fn silent_callers_make_room_first() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let b = Balancer::with_sockets(&discovery, &[host("s", up.address, 0, "SERVING")], 64);
+    let mut kept = b.client();
+    assert_eq!(kept.ask(&look("1.2")).status(), 200);
+    let mut silent = Vec::new();
+    for _ in 0..4 {
+        silent.extend((0..20).map(|_| b.client()));
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    assert_eq!(kept.ask(&look("1.2")).status(), 200);
+    assert!(silent[0].answer().is_none(), "nobody was closed");
+}
+
+/// Guards against a close that destroys an error by a reset: the client sends all of its 60 MB before it reads.
+/// And against senders who keep the loop to themselves: two more never stop sending, until they are cut off.
+#[test]
+fn endless_bodies_are_answered_and_delay_nobody() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let sender = |parts: usize| {
+        let mut sender = b.client();
+        sender.send(&book("6", "").replace("Content-Length: 0", "Content-Length: 60000000"));
+        let part = "x".repeat(600_000);
+        std::thread::spawn(move || {
+            let sent =
+                (0..parts).all(|_| std::io::Write::write_all(&mut sender.stream, part.as_bytes()).is_ok());
+            sent.then(|| sender.answer().expect("an error").status())
+        })
+    };
+    let (endless, large) = ([sender(usize::MAX), sender(usize::MAX)], sender(100));
+    for _ in 0..20 {
+        assert_eq!(b.ask(&look("1.2")).status(), 200);
+    }
+    assert_eq!(large.join().unwrap(), Some(413));
+    endless.map(|sender| assert_eq!(sender.join().unwrap(), None));
+}
+
+/// Guards against belief in a load report that can't be read as a whole.
+#[test]
+fn an_unreadable_report_is_not_believed() {
+    let reporting = |report: &'static str| {
+        let answer = format!("HTTP/1.1 200 OK\r\nSrv-Load: {report}\r\nContent-Length: 0\r\n\r\n");
+        Upstream::start(move |_| Reply::Bytes(answer.clone().into_bytes()))
+    };
+    let (odd, plain) = (reporting("TEXT busy=0.x, rif=60"), reporting("TEXT busy=0.5, rif=0"));
+    let discovery = Discovery::start();
+    let hosts = [host("o", odd.address, 0, "SERVING"), host("p", plain.address, 0, "SERVING")];
+    let b = Balancer::start(&discovery, &hosts);
+    let mut client = b.client();
+    (0..100).for_each(|_| assert_eq!(client.ask(&look("1.2")).status(), 200));
+    assert!(2 * odd.count() > plain.count(), "{} to {}", odd.count(), plain.count());
+}
