--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -478,7 +478,7 @@
         assert_eq!(b.ask(&look("1.2")).status(), 200);
     }
     assert_eq!(large.join().unwrap(), Some(413));
-    endless.map(|sender| assert_eq!(sender.join().unwrap(), None));
+    endless.into_iter().for_each(|sender| assert_eq!(sender.join().unwrap(), None));
 }
 
 /// Guards against belief in a load report that can't be read as a whole.
