--- a/src/limits.rs
+++ b/src/limits.rs
@@ -13,10 +13,16 @@
     pub head_bytes: usize,
     /// The most headers in one.
     pub headers: usize,
-    /// The longest body.
+    /// The longest body of a request.
     pub body_bytes: usize,
-    /// The most that is kept of an incoming message: head, body and the framing between its chunks.
+    /// The most that is kept of an incoming request: head, body and the framing between its chunks.
     pub message_bytes: usize,
+    /// The longest body of an answer.
+    pub answer_body_bytes: usize,
+    /// The most that is kept of an answer.
+    pub answer_bytes: usize,
+    /// What the answers that are longer than a request may be hold together.
+    pub answers_bytes: usize,
     /// What one read takes from a socket.
     pub read_bytes: usize,
     /// What the buffers of a connection keep for its next message: idle connections are many.
@@ -83,6 +89,9 @@
             headers: 64,
             body_bytes: 64 << 10,
             message_bytes: 96 << 10,
+            answer_body_bytes: 1 << 20,
+            answer_bytes: (1 << 20) + (64 << 10),
+            answers_bytes: (config.memory_mb << 20) / 8,
             read_bytes: 16 << 10,
             kept_bytes: 4 << 10,
             chunk_line_bytes: 4 << 10,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -138,7 +138,7 @@
         (true, None) => Framing::Chunked,
         (false, length) => Framing::Length(length.unwrap_or(0)),
     };
-    let Some((body, used)) = body(&buf[head_len..], framing, false, limits)? else {
+    let Some((body, used)) = body(&buf[head_len..], framing, false, limits.body_bytes, limits)? else {
         return Ok(Incoming::Partial { expects: fields.expects && buf.len() == head_len });
     };
     let text = |name: &str| -> Result<Option<String>, Bad> {
@@ -188,7 +188,8 @@
             (false, Some(n)) => Framing::Length(n),
             (false, None) => Framing::Close,
         };
-        let whole = body(&buf[at..], framing, ended, limits).map_err(|_| Bad(502))?;
+        let whole =
+            body(&buf[at..], framing, ended, limits.answer_body_bytes, limits).map_err(|_| Bad(502))?;
         let Some((body, used)) = whole else {
             return if ended { Err(Bad(502)) } else { Ok(None) };
         };
@@ -304,16 +305,22 @@
 }
 
 /// The body at the start of `buf` and the bytes that it took there, if it is whole.
-fn body(buf: &[u8], framing: Framing, ended: bool, limits: &Limits) -> Result<Option<(Vec<u8>, usize)>, Bad> {
+fn body(
+    buf: &[u8],
+    framing: Framing,
+    ended: bool,
+    most: usize,
+    limits: &Limits,
+) -> Result<Option<(Vec<u8>, usize)>, Bad> {
     match framing {
-        Framing::Length(n) if n > limits.body_bytes => Err(Bad(413)),
+        Framing::Length(n) if n > most => Err(Bad(413)),
         Framing::Length(n) => Ok(buf.get(..n).map(|b| (b.to_vec(), n))),
-        Framing::Close if buf.len() > limits.body_bytes => Err(Bad(413)),
+        Framing::Close if buf.len() > most => Err(Bad(413)),
         Framing::Close => Ok(ended.then(|| (buf.to_vec(), buf.len()))),
         Framing::Chunked => {
             let mut chunks = Chunks::default();
             let mut out = Vec::new();
-            let used = chunks.read(buf, limits.body_bytes, limits, &mut out)?;
+            let used = chunks.read(buf, most, limits, &mut out)?;
             Ok(chunks.done.then_some((out, used)))
         }
     }
--- a/src/net/upstreams.rs
+++ b/src/net/upstreams.rs
@@ -56,6 +56,11 @@
         self.conns.len()
     }
 
+    /// What is held of answers that are not whole.
+    fn held(&self) -> usize {
+        self.conns.values().map(|c| c.input.len()).sum()
+    }
+
     /// Where this upstream is reached from now on; connections to its former address go.
     pub fn moved(&mut self, net: &Net, upstream: ServerId, address: SocketAddr) {
         if self.addresses.insert(upstream, address).is_some_and(|old| old != address) {
@@ -211,7 +216,7 @@
             conn.open = true;
         }
         let wrote = super::write(&conn.socket.stream, &conn.output, &mut conn.written);
-        let most = self.net.limits.message_bytes;
+        let most = self.net.limits.answer_bytes;
         let reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
         if conn.flight.is_none() {
             // An idle connection has nothing to say but that it ends.
@@ -220,10 +225,13 @@
             }
             return;
         }
+        let large = conn.input.len() > self.net.limits.message_bytes;
+        let crowded = large && self.upstreams.held() > self.net.limits.answers_bytes;
+        let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
         if !conn.input.is_empty() {
             match http::answer(&conn.input, reading == Reading::Ended, &self.net.limits) {
                 Ok(Some(answer)) => return self.answered(id, answer, reading == Reading::Open),
-                Ok(None) if conn.input.len() <= most => {}
+                Ok(None) if conn.input.len() <= most && !crowded => {}
                 _ if reading == Reading::Broken => {}
                 _ => {
                     let name = self.decisions.upstream_name(conn.upstream);
