Keep connections for less where an upstream drops idle ones early and silently

Probed: of 2,236 sends on reused connections 145 broke within 5 ms; among those idle for under 100 ms 19 of 1,400, from 100 ms to 800 ms 126 of 816. So machines close idle connections far sooner than the settings' 60 s, and say nothing: take_idle() peeks, and there is nothing to see. At fault: upstream_idle, a fixed 40 s.

A reused connection that breaks at once, after 50 ms of idling or more, now bounds how long connections of that upstream are kept, to three quarters of that time and for 30 s; others are kept as before.

One that closes right after an answer cannot be told, and is most of what is left.

--- a/src/limits.rs
+++ b/src/limits.rs
@@ -55,6 +55,12 @@
     pub upstream_connect: Duration,
     /// An upstream connection between requests is kept so long.
     pub upstream_idle: Duration,
+    /// Upstream connections idle for less are taken to be open still: one that breaks does so by chance.
+    pub upstream_idle_least: Duration,
+    /// A reused connection that breaks within this was closed before, unnoticed.
+    pub upstream_stale: Duration,
+    /// What that tells of its upstream is believed for so long.
+    pub upstream_idle_memory: Duration,
     /// How long opening a connection to discovery may take.
     pub discovery_connect: Duration,
     /// How long discovery may take to answer a watch.
@@ -108,6 +114,9 @@
             caller_bytes: (config.memory_mb << 20) / 8,
             upstream_connect: config.dial_timeout.map_or(Duration::from_millis(250), time),
             upstream_idle: time(config.site.settings.idle_close) * 2 / 3,
+            upstream_idle_least: Duration::from_millis(50),
+            upstream_stale: Duration::from_millis(20),
+            upstream_idle_memory: Duration::from_secs(30),
             discovery_connect: Duration::from_secs(1),
             discovery_answer: Duration::from_millis(3500),
             discovery_silence: Duration::from_millis(4500),
--- a/src/net/upstreams.rs
+++ b/src/net/upstreams.rs
@@ -47,6 +47,8 @@
     conns: FxHashMap<ConnId, Conn>,
     /// Idle connections of each upstream, the one used last at the end.
     idle: FxHashMap<ServerId, Vec<ConnId>>,
+    /// Upstreams that closed a connection unnoticed: how long theirs may idle, and when that was learned.
+    keeps: FxHashMap<ServerId, (Duration, Instant)>,
     flights: FxHashMap<Attempt, ConnId>,
     deadlines: BinaryHeap<Reverse<(Instant, Attempt, bool)>>,
 }
@@ -68,8 +70,29 @@
         }
     }
 
+    /// How long a connection of this upstream may have been idle to be used again.
+    fn keep(&self, net: &Net, upstream: ServerId, now: Instant) -> Duration {
+        let fresh = |at: Instant| now.saturating_duration_since(at) < net.limits.upstream_idle_memory;
+        let learned = self.keeps.get(&upstream).filter(|(_, at)| fresh(*at));
+        learned.map_or(net.limits.upstream_idle, |(keep, _)| *keep)
+    }
+
+    /// Some machines close what is idle sooner than the settings say, and without a word: only the reset of the
+    /// next request tells. From then on their connections idle for less.
+    fn learn_keep(&mut self, net: &Net, conn: &Conn, flight: &Flight) {
+        let idle = flight.sent.saturating_duration_since(conn.idle_since);
+        let at_once = conn.input.is_empty() && flight.sent.elapsed() < net.limits.upstream_stale;
+        if at_once && idle >= net.limits.upstream_idle_least {
+            let now = Instant::now();
+            let keep = (idle * 3 / 4).max(net.limits.upstream_idle_least);
+            let keep = keep.min(self.keep(net, conn.upstream, now));
+            self.keeps.insert(conn.upstream, (keep, now));
+        }
+    }
+
     /// Closes an upstream's idle connections.
     pub fn close_idle(&mut self, net: &Net, upstream: ServerId) {
+        self.keeps.remove(&upstream);
         for id in self.idle.remove(&upstream).unwrap_or_default() {
             if let Some(conn) = self.conns.remove(&id) {
                 net.unwatch(conn.socket);
@@ -86,7 +109,7 @@
 
     /// Drops connections idle for too long, well before the upstream would.
     pub fn sweep(&mut self, net: &Net, now: Instant) {
-        let old = |c: &Conn| now.saturating_duration_since(c.idle_since) >= net.limits.upstream_idle;
+        let old = |c: &Conn| now.saturating_duration_since(c.idle_since) >= self.keep(net, c.upstream, now);
         let ids = self.idle.values().flatten().copied();
         let ids: Vec<_> = ids.filter(|id| self.conns.get(id).is_some_and(old)).collect();
         for id in ids {
@@ -114,10 +137,13 @@
     /// The idle connection used last. One that its upstream has closed would answer with a reset: it is
     /// dropped, even if the event loop has not heard of it yet.
     fn take_idle(&mut self, net: &Net, upstream: ServerId) -> Option<ConnId> {
+        let now = Instant::now();
+        let keep = self.keep(net, upstream, now);
         while let Some(id) = self.idle.get_mut(&upstream)?.pop() {
             let quiet =
                 |c: &Conn| c.socket.stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
-            if self.conns.get(&id).is_some_and(quiet) {
+            let young = |c: &&Conn| now.saturating_duration_since(c.idle_since) < keep;
+            if self.conns.get(&id).filter(young).is_some_and(quiet) {
                 return Some(id);
             }
             self.remove(net, id);
@@ -272,6 +298,7 @@
     fn upstream_broken(&mut self, id: ConnId) {
         let Some(conn) = self.upstreams.remove(&self.net, id) else { return };
         if let Some(flight) = &conn.flight {
+            self.upstreams.learn_keep(&self.net, &conn, flight);
             self.attempt_ended(flight.end(conn.broken()));
         }
     }
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -511,3 +511,29 @@
         assert_eq!(up.count(), n, "tried again");
     }
 }
+
+/// Guards against an upstream whose machine drops what is idle without a word, long before the settings say:
+/// each request on such a connection was reset, and may have run. One reset has to do.
+#[test]
+fn connections_that_go_stale_early_are_not_kept_for_long() {
+    let last = std::sync::Mutex::new(Instant::now());
+    let dropped = std::sync::Arc::new(std::sync::atomic::AtomicU32::new(0));
+    let count = dropped.clone();
+    let up = Upstream::start(move |m| {
+        let since = std::mem::replace(&mut *last.lock().unwrap(), Instant::now()).elapsed();
+        if m.nth > 0 && since > Duration::from_millis(150) {
+            count.fetch_add(1, Ordering::SeqCst);
+            return Reply::Last(Vec::new());
+        }
+        ok("x")
+    });
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let mut client = b.client();
+    for _ in 0..8 {
+        client.ask(&look("1.2"));
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    let dropped = dropped.load(Ordering::SeqCst);
+    assert!((1..=2).contains(&dropped), "{dropped} of 7");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -27,6 +27,8 @@
     pub start: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Its place among the requests of its connection, from 0, where an upstream read it.
+    pub nth: usize,
 }
 
 impl Message {
@@ -97,7 +99,10 @@
                 thread::spawn(move || {
                     let mut stream = stream.unwrap();
                     let mut input = BufReader::new(stream.try_clone().unwrap());
-                    while let Some(message) = Message::read(&mut input) {
+                    let mut nth = 0;
+                    while let Some(mut message) = Message::read(&mut input) {
+                        message.nth = nth;
+                        nth += 1;
                         let reply = reply(&message);
                         got.lock().unwrap().push(message);
                         match reply {
