Cut the program into crates: model, decisions, config and serve

Need: one process is to serve several services, listeners and node sources; the borders between what decides and what does I/O were modules of one crate, which nothing enforced.

Site, Names and host lists become plain types of the model; reading them stays in config.

--- a/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -1,7 +1,7 @@
 //! Every size, count and time of the real balancer, filled once at start and handed down.
 
-use crate::config::Config;
-use crate::interface::Micros;
+use crate::platform::Config;
+use garnettally_model::Micros;
 use std::time::Duration;
 
 /// The limits of one process.
--- a/src/config.rs
+++ b/crates/config/src/platform.rs
@@ -1,11 +1,9 @@
-//! Configuration: the environment, the settings and the host lists, decoded once into the few values that
-//! the program uses. Whatever is wrong with them is said here, with the name of the key.
+//! What the platform tells a balancer: the environment, the settings and the host lists, decoded once into the
+//! few values that the program uses. Whatever is wrong with them is said here, with the name of the key.
 
-use crate::interface::*;
-use rustc_hash::{FxHashMap, FxHasher};
+use garnettally_model::*;
 use serde::Deserialize;
 use std::borrow::Cow;
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
 /// The settings as they are written, with their names and units.
@@ -126,46 +124,10 @@
     pub(crate) quota_rps: Option<f64>,
 }
 
-/// The settings of a site: the module's, and the names that they and the lists use.
-pub struct Site {
-    /// What the module is given.
-    pub settings: Settings,
-    /// The numbers of the names.
-    pub names: Names,
-}
-
-/// The names that a site uses, each with its dense number.
-#[derive(Default)]
-pub struct Names {
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
-    servers: FxHashMap<String, ServerId>,
-    server_names: Vec<String>,
-}
-
-/// One entry of a host list.
-pub struct Listing {
-    /// The server's name.
-    pub name: String,
-    /// Its zone.
-    pub zone: Option<String>,
-    /// Its machine kind.
-    pub kind: Option<String>,
-    /// Its cell.
-    pub cell: i64,
-    /// Its state.
-    pub state: Listed,
-    /// Its size.
-    pub units: f64,
-    /// When it last started; `None`: long ago.
-    pub since: Option<Micros>,
-}
-
-impl Site {
+impl Facts<'_> {
     /// Checks the settings and turns them into the module's; the message names the key at fault.
-    pub fn new(f: &Facts<'_>) -> Result<Site, String> {
+    pub fn site(&self) -> Result<Site, String> {
+        let f = self;
         check(f)?;
         let base = Settings::default();
         let mut zones: Vec<String> = f.azs.iter().map(|z| z.to_string()).collect();
@@ -211,13 +173,9 @@
             key_rest: f.contract.key_rest_us.map_or(base.key_rest, Micros),
             drain_binds_alone: f.contract.drain_binds_alone.unwrap_or(false),
         };
-        let names = Names {
-            classes: f.grades.iter().map(|g| g.name.to_string()).collect(),
-            tenants: f.realms.iter().map(|r| r.name.to_string()).collect(),
-            zones,
-            kinds,
-            ..Names::default()
-        };
+        let classes = f.grades.iter().map(|g| g.name.to_string()).collect();
+        let tenants = f.realms.iter().map(|r| r.name.to_string()).collect();
+        let names = Names::new(classes, tenants, zones, kinds);
         Ok(Site { settings, names })
     }
 }
@@ -248,56 +206,6 @@
     Ok(())
 }
 
-impl Names {
-    /// The class of this name.
-    pub fn class(&self, name: &str) -> Option<ClassId> {
-        self.classes.iter().position(|c| c == name).map(|at| ClassId(at as u32))
-    }
-
-    /// The tenant of this name.
-    pub fn tenant(&self, name: &str) -> Option<TenantId> {
-        self.tenants.iter().position(|t| t == name).map(|at| TenantId(at as u32))
-    }
-
-    /// The name of a server that [`Names::news`] has met.
-    pub fn server(&self, id: ServerId) -> &str {
-        self.server_names.get(id.0 as usize).map_or("", String::as_str)
-    }
-
-    /// The number of a server that [`Names::news`] has met.
-    pub fn server_id(&self, name: &str) -> Option<ServerId> {
-        self.servers.get(name).copied()
-    }
-
-    /// A list's entry as the module takes it.
-    pub fn news(&mut self, l: &Listing) -> ServerNews {
-        let server = match self.servers.get(&l.name) {
-            Some(&id) => id,
-            None => {
-                let id = ServerId(self.server_names.len() as u32);
-                self.server_names.push(l.name.clone());
-                self.servers.insert(l.name.clone(), id);
-                id
-            }
-        };
-        // Without a zone or kind it is open to no class that is bound to some.
-        let zone = l.zone.as_deref().map_or(u32::MAX, |z| dense(&mut self.zones, z));
-        let kind = l.kind.as_deref().map_or(u32::MAX, |k| dense(&mut self.kinds, k));
-        let key = hash(&l.name);
-        ServerNews { server, zone, kind, cell: l.cell, key, state: l.state, units: l.units, since: l.since }
-    }
-}
-
-/// A host list as discovery writes it.
-pub struct HostList {
-    /// Its version.
-    pub seq: u64,
-    /// The whole list, or else what changed.
-    pub whole: bool,
-    /// Each entry with the address to dial.
-    pub hosts: Vec<(Listing, Option<SocketAddr>)>,
-}
-
 #[derive(Deserialize)]
 struct RawList<'a> {
     seq: u64,
@@ -326,40 +234,38 @@
     born_ms: Option<i64>,
 }
 
-impl HostList {
-    /// Decodes one list.
-    pub fn decode(json: &[u8]) -> Result<HostList, String> {
-        HostList::new(from_json(json)?)
-    }
+/// Decodes one list as the platform's discovery writes it.
+pub fn decode_hosts(json: &[u8]) -> Result<HostList, String> {
+    host_list(from_json(json)?)
+}
 
-    fn new(raw: RawList<'_>) -> Result<HostList, String> {
-        let mut hosts = Vec::with_capacity(raw.hosts.len());
-        for (i, h) in raw.hosts.into_iter().enumerate() {
-            let state = match &*h.health {
-                "SERVING" => Listed::Ready,
-                "DRAINING" => Listed::Draining,
-                "DELETED" => Listed::Gone,
-                other => return Err(format!("hosts[{i}].health: unknown state {other:?}")),
-            };
-            let dial = h.dial.as_deref().map(str::parse::<SocketAddr>);
-            let dial = match (dial, state) {
-                (Some(Ok(addr)), _) => Some(addr),
-                (_, Listed::Gone) => None,
-                _ => return Err(format!("hosts[{i}].dial: not an address with a port")),
-            };
-            let listing = Listing {
-                name: h.host.into_owned(),
-                zone: h.site.map(Cow::into_owned),
-                kind: h.class.map(Cow::into_owned),
-                cell: h.block.unwrap_or(0),
-                state,
-                units: h.share.unwrap_or(1.0),
-                since: h.born_ms.filter(|&t| t != 0).map(|t| Micros(t.saturating_mul(1000))),
-            };
-            hosts.push((listing, dial));
-        }
-        Ok(HostList { seq: raw.seq, whole: raw.whole, hosts })
+fn host_list(raw: RawList<'_>) -> Result<HostList, String> {
+    let mut hosts = Vec::with_capacity(raw.hosts.len());
+    for (i, h) in raw.hosts.into_iter().enumerate() {
+        let state = match &*h.health {
+            "SERVING" => Listed::Ready,
+            "DRAINING" => Listed::Draining,
+            "DELETED" => Listed::Gone,
+            other => return Err(format!("hosts[{i}].health: unknown state {other:?}")),
+        };
+        let dial = h.dial.as_deref().map(str::parse::<SocketAddr>);
+        let dial = match (dial, state) {
+            (Some(Ok(addr)), _) => Some(addr),
+            (_, Listed::Gone) => None,
+            _ => return Err(format!("hosts[{i}].dial: not an address with a port")),
+        };
+        let listing = Listing {
+            name: h.host.into_owned(),
+            zone: h.site.map(Cow::into_owned),
+            kind: h.class.map(Cow::into_owned),
+            cell: h.block.unwrap_or(0),
+            state,
+            units: h.share.unwrap_or(1.0),
+            since: h.born_ms.filter(|&t| t != 0).map(|t| Micros(t.saturating_mul(1000))),
+        };
+        hosts.push((listing, dial));
     }
+    Ok(HostList { seq: raw.seq, whole: raw.whole, hosts })
 }
 
 /// All that one balancer is told at its start.
@@ -435,7 +341,7 @@
         let in_file = raw.discovery.as_deref().filter(|text| !text.is_empty());
         let in_file = in_file.map(str::parse).transpose();
         let seed = u64::from_str_radix(&raw.seed, 16);
-        let site = Site::new(&raw.settings).map_err(|e| format!("{path}: {e}"))?;
+        let site = raw.settings.site().map_err(|e| format!("{path}: {e}"))?;
         if raw.settings.grades.is_empty() {
             return Err(format!("{path}: settings.Grades: must name at least one class"));
         }
@@ -457,7 +363,7 @@
             seed: seed.map_err(|_| format!("{path}: seed: {:?} is not 16 hex digits", raw.seed))?,
             sockets,
             memory_mb,
-            known: HostList::new(known).map_err(|e| format!("{path}: known.{e}"))?,
+            known: host_list(known).map_err(|e| format!("{path}: known.{e}"))?,
             dial_timeout: raw.settings.limits.dial_timeout_us.map(Micros),
             site,
         })
@@ -488,23 +394,3 @@
         _ => Effect::Unsafe,
     }
 }
-
-fn hash(text: &str) -> u64 {
-    let mut hasher = FxHasher::default();
-    text.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// The number that a key's 16 hex digits write; of another text its hash.
-pub fn key(text: &str) -> KeyId {
-    KeyId(u64::from_str_radix(text, 16).unwrap_or_else(|_| hash(text)))
-}
-
-/// The place of a name among those met.
-fn dense(known: &mut Vec<String>, name: &str) -> u32 {
-    let at = known.iter().position(|k| k == name).unwrap_or_else(|| {
-        known.push(name.to_string());
-        known.len() - 1
-    });
-    at as u32
-}
--- a/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -1,14 +1,13 @@
 //! The module in blocking style: ask it to [`pick`](Decisions::pick), [`report`](Decisions::report) what
 //! came of it, and [`tick`](Decisions::tick) when it is due. Network code sees these types alone.
 
-use crate::config::{HostList, Names, Site};
-use crate::interface::{Action, Event, Form, Load, NewRequest};
 use crate::rules::Balancer;
+use garnettally_model::{Action, Event, Form, HostList, Load, Names, NewRequest, Outcome, Site};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-pub use crate::interface::{ClassId, Code, Effect, KeyId, Listed, Micros, RequestId, ServerId, TenantId};
+pub use garnettally_model::{ClassId, Code, Effect, KeyId, Listed, Micros, RequestId, ServerId, TenantId};
 
 /// A request that wants an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -158,16 +157,14 @@
     /// Takes in what has become known, and says what follows from it.
     pub fn report(&mut self, now: Micros, report: Report) -> Vec<Decision> {
         let event = match report {
-            Report::Ended { request, attempt, code, latency, held, answered } => {
-                Event::Outcome(crate::interface::Outcome {
-                    id: request,
-                    attempt,
-                    code,
-                    latency: Micros(latency.as_micros() as i64),
-                    terminal: answered,
-                    load: held.map(|held| Load { held: Some(held) }),
-                })
-            }
+            Report::Ended { request, attempt, code, latency, held, answered } => Event::Outcome(Outcome {
+                id: request,
+                attempt,
+                code,
+                latency: Micros(latency.as_micros() as i64),
+                terminal: answered,
+                load: held.map(|held| Load { held: Some(held) }),
+            }),
             Report::Gone(request) => Event::Gone(request),
             Report::Known(list) => return self.hosts(now, Form::Cached, &list),
             Report::Hosts(list) => {
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -2,10 +2,10 @@
 //!
 //! [`Balancer`] is one caller's balancer. It does no I/O and reads no clock: it is handed
 //! [`Event`]s with the time they happened and answers with [`Action`]s. [`facade`] puts it in blocking
-//! style for the real balancer, [`config`] reads what it is told, and [`limits`] holds the balancer's limits.
+//! style for the real balancer.
 //!
 //! ```
-//! use garnettally::*;
+//! use garnettally_decisions::*;
 //!
 //! let class = Class { aim: Micros(500_000), ..Class::default() };
 //! let settings = Settings { classes: vec![class], ..Settings::default() };
@@ -37,12 +37,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod config;
 pub mod facade;
-mod interface;
-pub mod limits;
 mod rules;
 mod state;
 
-pub use interface::*;
+pub use garnettally_model::*;
 pub use rules::Balancer;
--- a/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -1,11 +1,11 @@
-//! **The** decisions of one balancer; its face (settings, events, actions) is `src/interface.rs`.
+//! **The** decisions of one balancer; its face (settings, events, actions) is `garnettally_model`.
 //!
 //! CSLD: every call's estimated cost is booked onto a per-server time board; each period the booked work
 //! becomes a compressed weight; a call goes to the largest weight net of this instance's own sends since. The
 //! order: constants, board, admit, pick, outcome, period, health, membership. Names are the paper's.
 
-use crate::interface::*;
 use crate::state::*;
+use garnettally_model::*;
 use rustc_hash::FxHashMap;
 
 // The mechanism; times in microseconds, shares and ratios without a unit.
--- a/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,6 +1,6 @@
 //! What a balancer keeps: plain data and running means. It decides nothing; `rules.rs` does.
 
-use crate::interface::*;
+use garnettally_model::*;
 use std::collections::VecDeque;
 
 /// Q_k and the cost board of one server: a ring of slots from `cleared` on, and TC.
--- a/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -1,6 +1,6 @@
 //! One small test for each failure found; each fails when its defence is taken out.
 
-use garnettally::*;
+use garnettally_decisions::*;
 
 struct Bench {
     b: Balancer,
--- a/tests/four_rules.rs
+++ b/crates/decisions/tests/four_rules.rs
@@ -1,6 +1,6 @@
 //! Random legal events, fixed seeds, and a bookkeeper of its own that knows the six rules.
 
-use garnettally::*;
+use garnettally_decisions::*;
 use std::collections::BTreeMap;
 
 const GRACE: Micros = Micros(20_000);
--- a/src/net/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -1,11 +1,11 @@
 //! The downstream side: the listener and the connections of callers.
 
-use super::exchange::{Final, Unfit};
-use super::http::{self, Bad, Incoming};
-use super::{ConnId, Net, Proxy, Reading, Watched};
+use crate::exchange::{Final, Unfit};
+use crate::http::{self, Bad, Incoming};
+use crate::{ConnId, Net, Proxy, Reading, Watched};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
-use garnettally::facade::RequestId;
+use garnettally_decisions::facade::RequestId;
 use rustc_hash::FxHashMap;
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -72,7 +72,7 @@
         })
     }
 
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.conns.len()
     }
 
@@ -135,7 +135,7 @@
         while let Some((listener, _)) = &self.callers.listener {
             let listener = listener.clone();
             // One over the limit, until the next one comes: nothing is closed for a connection not there.
-            let full = self.callers.len() > self.net.limits.callers;
+            let full = self.callers.count() > self.net.limits.callers;
             let room = if full { self.close_idle_caller() } else { self.make_room() };
             if !room {
                 return self.rest_accepting("no connection is idle");
@@ -401,7 +401,7 @@
 
 /// Writes what is to be written; the end of the last answer ends the sending.
 fn flush(conn: &mut Conn) -> io::Result<()> {
-    super::write(&conn.socket.stream, &conn.output, &mut conn.written)?;
+    crate::write(&conn.socket.stream, &conn.output, &mut conn.written)?;
     if conn.written == conn.output.len() && conn.written > 0 {
         conn.output.clear();
         conn.written = 0;
--- a/src/net/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -1,9 +1,9 @@
 //! Where the upstreams come from: a watch on the discovery service. When to ask is the module's decision.
 
-use super::http::{self, Chunks};
-use super::{Proxy, Reading, Watched};
-use garnettally::config::HostList;
-use garnettally::facade::Report;
+use crate::http::{self, Chunks};
+use crate::{Proxy, Reading, Watched};
+use garnettally_config::platform::decode_hosts;
+use garnettally_decisions::facade::Report;
 use slog::{info, warn};
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -57,7 +57,7 @@
         }
         let number = self.net.number();
         let ready = move |proxy: &mut Proxy, r: calloop::Readiness| proxy.discovery_ready(number, r.writable);
-        let socket = match super::connect(self.discovery.address).and_then(|s| self.net.watch(s, ready)) {
+        let socket = match crate::connect(self.discovery.address).and_then(|s| self.net.watch(s, ready)) {
             Ok(socket) => socket,
             Err(e) => return self.watch_failed(&e.to_string()),
         };
@@ -98,7 +98,7 @@
         let Some(watch) = self.discovery.watch.as_mut().filter(|w| w.number == number) else { return };
         if watch.written < watch.output.len() && writable {
             watch.deadline = Instant::now() + self.net.limits.discovery_answer;
-            if let Err(e) = super::write(&watch.socket.stream, &watch.output, &mut watch.written) {
+            if let Err(e) = crate::write(&watch.socket.stream, &watch.output, &mut watch.written) {
                 return self.watch_failed(&e.to_string());
             }
         }
@@ -146,7 +146,7 @@
         while let Some(end) = watch.line.iter().position(|&b| b == b'\n') {
             let line: Vec<u8> = watch.line.drain(..=end).collect();
             if !line.trim_ascii().is_empty() {
-                let list = HostList::decode(line.trim_ascii());
+                let list = decode_hosts(line.trim_ascii());
                 lists.push(list.map_err(|e| format!("a line makes no sense: {e}"))?);
             }
         }
--- a/src/net/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -1,10 +1,10 @@
 //! The life of a request: taken from a caller, decided on by the module, tried, and answered once.
 
-use super::http::{Answer, Call, Request};
-use super::upstreams::Ended;
-use super::{ConnId, Proxy};
-use garnettally::config::key;
-use garnettally::facade::{Ask, Code, Decision, Effect, Listed, Micros, Report, RequestId};
+use crate::http::{Answer, Call, Request};
+use crate::upstreams::Ended;
+use crate::{ConnId, Proxy};
+use garnettally_decisions::facade::{Ask, Code, Decision, Effect, Listed, Micros, Report, RequestId};
+use garnettally_model::key;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{debug, info};
 use std::time::{Duration, Instant};
--- a/src/net/http.rs
+++ b/crates/serve/src/http.rs
@@ -1,6 +1,6 @@
 //! The HTTP/1.1 codec: bytes to requests and answers, and back. It owns no socket and decides nothing.
 
-use crate::net::Limits;
+use crate::Limits;
 use httparse::{Header, Status};
 use std::fmt::Write as _;
 use std::time::Duration;
--- a/src/net/mod.rs
+++ b/crates/serve/src/lib.rs
@@ -1,23 +1,23 @@
 //! The real balancer round the module: sockets in, decisions asked, sockets out.
 //!
-//! [`http`] is the codec, [`callers`] and [`upstreams`] hold the connections, [`discovery`] the watch,
-//! [`exchange`] the life of a request between them, [`reload`] a new configuration, and [`shutdown`] the end.
-//! [`Proxy`] is the state that the event loop hands to each of them.
-
-pub mod callers;
-pub mod discovery;
-pub mod exchange;
-pub mod http;
-pub mod reload;
-pub mod shutdown;
-pub mod upstreams;
+//! `http` is the codec, `callers` and `upstreams` hold the connections, `discovery` the watch,
+//! `exchange` the life of a request between them, `reload` a new configuration, and `shutdown` the end.
+//! `Proxy` is the state that the event loop hands to each of them.
+
+mod callers;
+mod discovery;
+mod exchange;
+mod http;
+mod reload;
+mod shutdown;
+mod upstreams;
 
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
-use garnettally::config::Config;
-use garnettally::facade::{Decisions, Micros, Report};
-pub use garnettally::limits::Limits;
+use garnettally_config::platform::Config;
+pub use garnettally_config::Limits;
+use garnettally_decisions::facade::{Decisions, Micros, Report};
 use slog::{info, Logger};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
@@ -230,7 +230,7 @@
 
     /// Makes room for one more connection, if idle ones take it; upstream connections go first.
     fn make_room(&mut self) -> bool {
-        if self.callers.len() + self.upstreams.len() < self.net.limits.connections {
+        if self.callers.count() + self.upstreams.count() < self.net.limits.connections {
             return true;
         }
         self.upstreams.close_oldest_idle(&self.net) || self.close_idle_caller()
--- a/src/net/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -1,8 +1,8 @@
 //! A new configuration, on SIGHUP: discovery is followed to where the file now says it answers. What else the
 //! file says holds from the next start on.
 
-use super::Proxy;
-use garnettally::config::Config;
+use crate::Proxy;
+use garnettally_config::platform::Config;
 use slog::{error, info};
 use std::net::SocketAddr;
 
--- a/src/net/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -1,7 +1,7 @@
 //! The end: after SIGTERM the balancer goes on for a while, then closes what is idle and leaves when nothing
 //! is owed any more.
 
-use super::Proxy;
+use crate::Proxy;
 use slog::info;
 use std::time::Instant;
 
--- a/src/net/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -1,8 +1,8 @@
 //! The upstream side: attempts, and the pool of connections that they use one at a time.
 
-use super::http::{self, Answer, Request};
-use super::{ConnId, Net, Proxy, Reading, Watched};
-use garnettally::facade::{Code, RequestId, ServerId};
+use crate::http::{self, Answer, Request};
+use crate::{ConnId, Net, Proxy, Reading, Watched};
+use garnettally_decisions::facade::{Code, RequestId, ServerId};
 use rustc_hash::FxHashMap;
 use slog::warn;
 use std::cmp::Reverse;
@@ -54,7 +54,7 @@
 }
 
 impl Upstreams {
-    pub fn len(&self) -> usize {
+    pub fn count(&self) -> usize {
         self.conns.len()
     }
 
@@ -187,13 +187,13 @@
             Some(id) => id,
             None => {
                 if !self.make_room() {
-                    warn!(self.net.log, "no descriptor is left for an attempt"; "upstreams" => self.upstreams.len());
+                    warn!(self.net.log, "no descriptor is left for an attempt"; "upstreams" => self.upstreams.count());
                     return self.attempt_ended(failed);
                 }
                 let id = self.net.number();
                 let ready =
                     move |proxy: &mut Proxy, r: calloop::Readiness| proxy.upstream_ready(id, r.writable);
-                let socket = match super::connect(address).and_then(|s| self.net.watch(s, ready)) {
+                let socket = match crate::connect(address).and_then(|s| self.net.watch(s, ready)) {
                     Ok(socket) => socket,
                     Err(_) => return self.attempt_ended(failed),
                 };
@@ -241,7 +241,7 @@
             }
             conn.open = true;
         }
-        let wrote = super::write(&conn.socket.stream, &conn.output, &mut conn.written);
+        let wrote = crate::write(&conn.socket.stream, &conn.output, &mut conn.written);
         let most = self.net.limits.answer_bytes;
         let reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
         if conn.flight.is_none() {
--- a/src/bin/garnettally-benchlink/host.rs
+++ b/src/bin/garnettally-benchlink/host.rs
@@ -1,8 +1,7 @@
 //! The instances of one process, each with its own names and its own [`Balancer`].
 
 use crate::wire::{self, In, Out};
-use garnettally::config::{key, Listing, Names, Site};
-use garnettally::*;
+use garnettally_decisions::*;
 use rustc_hash::FxHashMap;
 
 /// A request's name on the wire, and when it can be forgotten.
@@ -196,7 +195,7 @@
 
 impl Instance {
     fn new(b: &wire::Boot<'_>, now: Micros) -> Result<Instance, String> {
-        let site = Site::new(&b.facts)?;
+        let site = b.facts.site()?;
         Ok(Instance {
             balancer: Balancer::new(site.settings, b.random_seed, now),
             names: site.names,
--- a/src/bin/garnettally-benchlink/wire.rs
+++ b/src/bin/garnettally-benchlink/wire.rs
@@ -1,6 +1,6 @@
 //! The messages of the wire, as they are read and written.
 
-use garnettally::config::Facts;
+use garnettally_config::platform::Facts;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,11 +1,10 @@
 //! One balancer: reads what it is told, and serves until it is told to end.
 #![forbid(unsafe_code)]
 
-mod net;
-
 use calloop::signals::{Signal, Signals};
-use garnettally::config::Config;
-use garnettally::limits::Limits;
+use garnettally_config::platform::Config;
+use garnettally_config::Limits;
+use garnettally_serve as net;
 use slog::{o, Drain, Logger};
 use std::process::ExitCode;
 
