Add routing without I/O and the operator's file with all its checks

Need: several services, listeners and node sources behind one program want a place where a request is matched to class and pool, and a file that says so.

Change: crate routing (a trie of routes where the most specific wins and ambiguity is an error that names both, weighted rendezvous splits, failover with hysteresis and slow return, pins of keyed requests, capacity by guaranteed minimum and borrowing); in config the operator's TOML file with its JSON Schema, every problem at once with line, key and remedy, docs/configuration.md held to the schema by a test, and deploy/edge.example.toml. Nothing of it is wired in yet.

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -87,8 +87,7 @@
         let deadlines = config.site.settings.classes.iter().map(|c| time(c.deadline));
         let longest = deadlines.max().unwrap_or_default().min(Duration::from_secs(3));
         let drain_answer = longest + Duration::from_millis(500);
-        // Listener, loop, signals, discovery, standard streams and room for what is about to close.
-        let connections = config.sockets - (config.sockets / 16).max(24);
+        let connections = connections(config.sockets);
         Limits {
             resolution: time(config.site.settings.resolution),
             head_bytes: 16 << 10,
@@ -128,3 +127,9 @@
         }
     }
 }
+
+/// The connections that so many descriptors leave room for: the rest is for listeners, loop, signals, discovery,
+/// standard streams and what is about to close.
+pub fn connections(descriptors: usize) -> usize {
+    descriptors - (descriptors / 16).max(24).min(descriptors)
+}
--- /dev/null
+++ b/crates/config/tests/file.rs
@@ -0,0 +1,247 @@
+//! The operator's file: what is accepted, and that everything wrong is told at once with line, key and remedy.
+
+use garnettally_config::file::{parse, parse_nodes, Operator, Problems};
+use proptest::prelude::*;
+
+const EXAMPLE: &str = include_str!("../../../deploy/edge.example.toml");
+
+fn problems(text: &str) -> Vec<String> {
+    match parse("f.toml", text) {
+        Ok(_) => Vec::new(),
+        Err(Problems(all)) => all.iter().map(|p| p.to_string()).collect(),
+    }
+}
+
+fn accepted(text: &str) -> Operator {
+    parse("f.toml", text).unwrap_or_else(|p| panic!("{p}"))
+}
+
+const SMALL: &str = r#"version = 1
+[listeners.a]
+address = "127.0.0.1:8080"
+[classes.look]
+repeat = "safe"
+aim = "1s"
+deadline = "2s"
+[classes.book]
+repeat = "keyed"
+aim = "1s"
+deadline = "2s"
+window = "10s"
+[pools.p]
+nodes = [{ name = "n", address = "127.0.0.1:9000" }]
+[[routes]]
+name = "all"
+path_prefix = "/"
+class = "look"
+pool = "p"
+"#;
+
+#[test]
+fn the_full_example_is_accepted_with_its_defaults() {
+    let o = accepted(EXAMPLE);
+    assert_eq!((o.listeners.len(), o.pools.len(), o.routes.len()), (2, 5, 4));
+    let pool = o.pools.iter().find(|p| p.name == "catalog").unwrap();
+    assert_eq!(pool.site.settings.max_attempts, 4);
+    assert_eq!(pool.site.settings.resolution.0, 0, "no request waits for a grid");
+    let settings = &o.pools.iter().find(|p| p.name == "orders-blue").unwrap().site.settings;
+    assert_eq!((settings.max_attempts, settings.retry_after, settings.parallel_tries), (3, true, true));
+}
+
+#[test]
+fn everything_wrong_is_told_at_once_with_line_key_and_remedy() {
+    let text = SMALL
+        .replace("address = \"127.0.0.1:8080\"", "adress = \"127.0.0.1:8080\"")
+        .replace("repeat = \"safe\"", "repeat = \"sometimes\"")
+        .replace("deadline = \"2s\"\nwindow", "deadline = 2\nwindow");
+    let told = problems(&text);
+    assert_eq!(told.len(), 4, "{told:#?}");
+    assert!(told.iter().any(|p| p == "f.toml:2: listeners.a: address is missing; add address"), "{told:#?}");
+    assert!(
+        told.iter().any(|p| p == "f.toml:3: listeners.a.adress: no such key; did you mean address?"),
+        "{told:#?}"
+    );
+    assert!(
+        told.iter()
+            .any(|p| p.starts_with("f.toml:5: classes.look.repeat: \"sometimes\" is not known; use one of")),
+        "{told:#?}"
+    );
+    assert!(
+        told.iter()
+            .any(|p| p == "f.toml:11: classes.book.deadline: has the wrong type: 2; it must be string"),
+        "{told:#?}"
+    );
+}
+
+/// Each case spoils one thing in a file that is accepted, and names what has to be told of it.
+#[test]
+fn what_can_not_be_used_is_refused_by_key() {
+    accepted(SMALL);
+    let cases = [
+        ("version = 1", "version = 2", "f.toml:1: version: version 2 is not known; this program reads 1"),
+        (
+            "aim = \"1s\"\ndeadline = \"2s\"\n[classes.book]",
+            "aim = \"3s\"\ndeadline = \"2s\"\n[classes.book]",
+            "f.toml:7: classes.look.deadline: is shorter than aim; raise deadline or lower aim",
+        ),
+        (
+            "window = \"10s\"\n",
+            "",
+            "f.toml:8: classes.book: window is missing; say for how long the nodes drop repeats of a key",
+        ),
+        ("\"10s\"", "\"10 apples\"", "f.toml:12: classes.book.window: \"10 apples\" is no time"),
+        (
+            "127.0.0.1:9000",
+            "localhost:9000",
+            "f.toml:14: pools.p.nodes[0].address: \"localhost:9000\" is not an address with a port",
+        ),
+        (
+            "nodes = [",
+            "nodes_file = \"x\"\nnodes = [",
+            "f.toml:13: pools.p: it needs exactly one of nodes, nodes_file and discovery",
+        ),
+        ("path_prefix = \"/\"", "path_prefix = \"x\"", "f.toml:17: routes[0].path_prefix: \"x\" is no path"),
+        (
+            "path_prefix = \"/\"",
+            "path_prefix = \"/\"\npath = \"/\"",
+            "f.toml:15: routes[0]: it needs exactly one of path and path_prefix",
+        ),
+        (
+            "class = \"look\"",
+            "class = \"lok\"",
+            "f.toml:18: routes[0].class: no class is called \"lok\"; did you mean look?",
+        ),
+        (
+            "class = \"look\"",
+            "class = \"book\"",
+            "f.toml:15: routes[0]: key is missing: class \"book\" is keyed or ordered",
+        ),
+        (
+            "pool = \"p\"",
+            "pool = \"q\"",
+            "f.toml:19: routes[0].pool: no pool is called \"q\"; did you mean p?",
+        ),
+        ("pool = \"p\"", "split = { p = 0.0 }", "f.toml:19: routes[0].split: no pool has a weight above 0"),
+        (
+            "pool = \"p\"",
+            "failover = [\"p\", \"p\"]",
+            "f.toml:19: routes[0].failover[1]: pool \"p\" stands twice",
+        ),
+        (
+            "pool = \"p\"",
+            "pool = \"p\"\nmirror = { pool = \"p\", share = 0.5 }",
+            "f.toml:20: routes[0].mirror.pool: pool \"p\" also serves requests",
+        ),
+        (
+            "pool = \"p\"",
+            "pool = \"p\"\nmethods = [\"get\"]",
+            "f.toml:20: routes[0].methods[0]: \"get\" can't be used",
+        ),
+        (
+            "pool = \"p\"",
+            "pool = \"p\"\ntenant = { param = \"id\" }",
+            "f.toml:20: routes[0].tenant.param: the path has no parameter \"id\"",
+        ),
+        (
+            "pool = \"p\"",
+            "pool = \"p\"\nheaders = [{ name = \"x\" }]",
+            "f.toml:20: routes[0].headers[0]: it needs exactly one of equals, starts_with and present",
+        ),
+        (
+            "pool = \"p\"",
+            "pool = \"p\"\ndeadline = { default = \"3s\" }",
+            "f.toml:20: routes[0].deadline.default: is longer than the ceiling",
+        ),
+        (
+            "pool = \"p\"",
+            "pool = \"p\"\nrequests = { min = 5000 }",
+            "f.toml:1: limits.requests: listeners, pools and routes are guaranteed 5000 requests of 4096",
+        ),
+        (
+            "pool = \"p\"",
+            "pool = \"p\"\n[[routes]]\nname = \"all\"\npath_prefix = \"/x\"\nclass = \"look\"\npool = \"p\"",
+            "f.toml:21: routes[1].name: \"all\" is the name of routes[0], too",
+        ),
+        (
+            "pool = \"p\"",
+            "pool = \"p\"\n[[routes]]\nname = \"more\"\npath_prefix = \"/\"\nclass = \"look\"\npool = \"p\"",
+            "f.toml:20: routes[1]: routes \"all\" and \"more\" match the same requests",
+        ),
+        (
+            "address = \"127.0.0.1:8080\"",
+            "address = \"127.0.0.1:8080\"\nconnections = { min = 5, max = 4 }",
+            "f.toml:4: listeners.a.connections: min 5 is above max 4",
+        ),
+        ("version = 1", "version = 1\nversion = 1", "f.toml:2: not TOML: duplicate key"),
+        ("version = 1", "version = 1\nnonsense", "f.toml:2: not TOML:"),
+        ("version = 1", "version = 1\nseed = \"xyz\"", "f.toml:2: seed: is not 16 hex digits"),
+    ];
+    for (from, to, want) in cases {
+        assert!(SMALL.contains(from), "{from}");
+        let told = problems(&SMALL.replacen(from, to, 1));
+        assert!(told.iter().any(|p| p.starts_with(want)), "{to}\nwanted {want}\ntold {told:#?}");
+    }
+}
+
+#[test]
+fn a_list_of_nodes_is_taken_whole_or_not_at_all() {
+    let good = "[[nodes]]\nname = \"a\"\naddress = \"127.0.0.1:1\"\n[[nodes]]\nname = \"b\"\naddress = \"127.0.0.1:2\"\nstate = \"draining\"\n";
+    assert_eq!(parse_nodes("n", good).unwrap().len(), 2);
+    let told = |text: &str| parse_nodes("n", text).unwrap_err().to_string();
+    assert_eq!(told("nodes = []"), "n:1: nodes: lists no node; write one [[nodes]] for each");
+    assert_eq!(told(""), "n:1: nodes is missing; add nodes");
+    assert!(told(&good.replace("\"b\"", "\"a\"")).starts_with("n:5: nodes[1].name: \"a\" stands twice"));
+    // Cut anywhere inside an entry, it is refused; what a cut between two entries leaves can't be told from a whole
+    // file, which is why it is read only once it has stopped changing.
+    for cut in good.find("name = \"b\"").unwrap()..good.find("state").unwrap() - 2 {
+        assert!(parse_nodes("n", &good[..cut]).is_err(), "{}", &good[..cut]);
+    }
+}
+
+/// Every key of the format stands on the operators' page, and nothing else does.
+#[test]
+fn the_page_tells_every_key_of_the_schema() {
+    let page = include_str!("../../../docs/configuration.md");
+    let schema = garnettally_config::file::schema();
+    let mut keys = std::collections::BTreeSet::new();
+    let mut note = |section: &str, object: &serde_json::Value| {
+        for name in object["properties"].as_object().into_iter().flatten() {
+            keys.insert(format!("{section}.{}", name.0));
+        }
+    };
+    note("File", &schema);
+    note("NodesFile", &garnettally_config::file::nodes_schema());
+    for (name, object) in schema["$defs"].as_object().unwrap() {
+        note(name, object);
+    }
+    let mut told = std::collections::BTreeSet::new();
+    let mut section = String::new();
+    for line in page.lines() {
+        if let Some(title) = line.strip_prefix("## ") {
+            section = title.rsplit_once('(').map_or("", |(_, t)| t.trim_end_matches(')')).to_string();
+        }
+        let row = line.strip_prefix("| `").and_then(|rest| rest.split_once('`'));
+        if let Some((key, _)) = row.filter(|_| !section.is_empty()) {
+            told.insert(format!("{section}.{key}"));
+        }
+    }
+    let missing: Vec<_> = keys.difference(&told).collect();
+    let unknown: Vec<_> = told.difference(&keys).collect();
+    assert!(missing.is_empty() && unknown.is_empty(), "not told: {missing:?}; told but unknown: {unknown:?}");
+    assert!(keys.len() > 60);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    /// A file cut or spoilt anywhere is accepted or refused, and never ends the process.
+    #[test]
+    fn spoilt_files_do_no_harm(at in 0..EXAMPLE.len(), what in "\\PC{0,8}", cut in any::<bool>()) {
+        let at = (0..=at).rev().find(|&i| EXAMPLE.is_char_boundary(i)).unwrap_or(0);
+        let rest = if cut { "" } else { &EXAMPLE[at..] };
+        if let Err(Problems(all)) = parse("f.toml", &format!("{}{what}{rest}", &EXAMPLE[..at])) {
+            prop_assert!(!all.is_empty());
+            prop_assert!(all.iter().all(|p| !p.what.is_empty()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/pins.rs
@@ -0,0 +1,159 @@
+//! Which pool a keyed request's first attempt went to, for as long as its key's window lasts.
+//!
+//! Only the nodes of one cell of one pool drop a repeat. Where weights change, a pool is left or a client asks
+//! again, the key's next request must go to that pool all the same, and nowhere once it is gone.
+
+use garnettally_model::Micros;
+use rustc_hash::FxHashMap;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// The keys whose windows are open. `P` names a pool.
+pub struct Pins<P> {
+    by_key: FxHashMap<u64, Pin<P>>,
+    ends: BinaryHeap<Reverse<(Micros, u64)>>,
+    most: usize,
+}
+
+struct Pin<P> {
+    pool: P,
+    until: Micros,
+    /// Attempts out, and those that may have run: while there are any, the pin holds.
+    attempts: u32,
+}
+
+/// No pin is free: a key that can't be remembered must not be sent where a repeat could go elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("all pins of keyed requests are in use")]
+pub struct Full;
+
+impl<P: Copy + PartialEq> Pins<P> {
+    /// Room for so many keys.
+    pub fn new(most: usize) -> Pins<P> {
+        Pins { by_key: FxHashMap::default(), ends: BinaryHeap::new(), most }
+    }
+
+    /// The number of keys held.
+    pub fn count(&self) -> usize {
+        self.by_key.len()
+    }
+
+    /// The pool that a key is bound to, and until when.
+    pub fn get(&self, now: Micros, key: u64) -> Option<(P, Micros)> {
+        self.by_key.get(&key).filter(|p| p.until > now).map(|p| (p.pool, p.until))
+    }
+
+    /// Notes an attempt that is about to be sent. The window is that of the first attempt that may have run: a
+    /// later one does not lengthen it.
+    pub fn sent(&mut self, now: Micros, key: u64, pool: P, until: Micros) -> Result<(), Full> {
+        self.expire(now);
+        if let Some(pin) = self.by_key.get_mut(&key) {
+            pin.attempts = pin.attempts.saturating_add(1);
+            return Ok(());
+        }
+        if self.by_key.len() >= self.most {
+            return Err(Full);
+        }
+        self.by_key.insert(key, Pin { pool, until, attempts: 1 });
+        self.ends.push(Reverse((until, key)));
+        Ok(())
+    }
+
+    /// An attempt that was noted has ended, and never ran.
+    pub fn never_ran(&mut self, key: u64) {
+        if let Some(pin) = self.by_key.get_mut(&key) {
+            pin.attempts = pin.attempts.saturating_sub(1);
+            if pin.attempts == 0 {
+                self.by_key.remove(&key);
+            }
+        }
+        // What was given up early leaves its end behind; many of those are swept at once.
+        if self.ends.len() > 2 * self.by_key.len() + 64 {
+            let by_key = &self.by_key;
+            self.ends.retain(|Reverse((until, key))| by_key.get(key).is_some_and(|p| p.until == *until));
+        }
+    }
+
+    /// Lets go of the keys whose windows have ended.
+    pub fn expire(&mut self, now: Micros) {
+        while let Some(&Reverse((until, key))) = self.ends.peek().filter(|e| e.0 .0 <= now) {
+            self.ends.pop();
+            if self.by_key.get(&key).is_some_and(|p| p.until == until) {
+                self.by_key.remove(&key);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeMap;
+
+    #[test]
+    fn a_full_memory_takes_no_new_key_but_knows_the_old_ones() {
+        let mut pins = Pins::new(1);
+        assert_eq!(pins.sent(Micros(0), 1, 'a', Micros(10)), Ok(()));
+        assert_eq!(pins.sent(Micros(0), 2, 'a', Micros(10)), Err(Full));
+        assert_eq!(pins.sent(Micros(0), 1, 'a', Micros(20)), Ok(()));
+        assert_eq!(pins.get(Micros(9), 1), Some(('a', Micros(10))), "the window is the first attempt's");
+        assert_eq!(pins.get(Micros(10), 1), None);
+        assert_eq!(pins.sent(Micros(10), 2, 'b', Micros(20)), Ok(()), "an ended window makes room");
+    }
+
+    #[derive(Clone, Debug)]
+    enum Op {
+        Send(u64, u8),
+        NeverRan(u64),
+        Pass(i64),
+    }
+
+    fn op() -> impl Strategy<Value = Op> {
+        prop_oneof![
+            (0u64..6, 0u8..3).prop_map(|(k, p)| Op::Send(k, p)),
+            (0u64..6).prop_map(Op::NeverRan),
+            (0i64..30).prop_map(Op::Pass),
+        ]
+    }
+
+    proptest! {
+        /// Against a plain list of all attempts: a key is bound to the pool of the first that may have run.
+        #[test]
+        fn random_histories_keep_every_key_where_it_was(ops in prop::collection::vec(op(), 1..300)) {
+            const WINDOW: i64 = 50;
+            let mut pins = Pins::new(100);
+            let mut plain: BTreeMap<u64, (u8, Micros, u32)> = BTreeMap::new();
+            let mut now = Micros(0);
+            for op in ops {
+                match op {
+                    Op::Send(key, pool) => {
+                        let to = pins.get(now, key).map_or(pool, |p| p.0);
+                        prop_assert_eq!(pins.sent(now, key, to, now + Micros(WINDOW)), Ok(()));
+                        plain.retain(|_, p| p.1 > now);
+                        let p = plain.entry(key).or_insert((pool, now + Micros(WINDOW), 0));
+                        p.2 += 1;
+                        prop_assert_eq!(to, p.0);
+                    }
+                    Op::NeverRan(key) => {
+                        plain.retain(|_, p| p.1 > now);
+                        pins.expire(now);
+                        pins.never_ran(key);
+                        if let Some(p) = plain.get_mut(&key) {
+                            p.2 -= 1;
+                            if p.2 == 0 {
+                                plain.remove(&key);
+                            }
+                        }
+                    }
+                    Op::Pass(t) => now += Micros(t),
+                }
+                plain.retain(|_, p| p.1 > now);
+                for key in 0..6 {
+                    prop_assert_eq!(pins.get(now, key), plain.get(&key).map(|p| (p.0, p.1)));
+                }
+                prop_assert!(pins.ends.len() <= 2 * pins.count() + 64 + 1);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/split.rs
@@ -0,0 +1,96 @@
+//! A weighted split by rendezvous hashing: every part draws a score from key and name, and the highest wins.
+//!
+//! Sticky: one key always goes to the same part. Least movement: when one weight grows, keys move to that part
+//! alone, and when it shrinks, away from it alone; a part that is added or removed moves its own share. Names
+//! and not places count, so the order of the parts does not matter.
+
+use crate::{stable_hash, unit};
+
+/// One part of a split.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// What goes there, as the caller numbers it.
+    pub to: usize,
+    /// Its weight, from 0; only ratios count.
+    pub weight: f64,
+    seed: u64,
+}
+
+/// A weighted split.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Split {
+    parts: Vec<Part>,
+}
+
+impl Split {
+    /// A split among these: what goes there, its name, and its weight. Parts without weight get nothing.
+    pub fn new<'n>(parts: impl IntoIterator<Item = (usize, &'n str, f64)>) -> Split {
+        let parts = parts.into_iter().map(|(to, name, weight)| {
+            let weight = if weight.is_finite() { weight.max(0.0) } else { 0.0 };
+            Part { to, weight, seed: stable_hash(0, name.as_bytes()) }
+        });
+        Split { parts: parts.collect() }
+    }
+
+    /// The parts.
+    pub fn parts(&self) -> &[Part] {
+        &self.parts
+    }
+
+    /// Where a key goes; `None` where nothing has weight.
+    pub fn choose(&self, key: u64) -> Option<usize> {
+        // -weight / ln(u) with u in (0, 1) from key and part: the maximum is at a part in proportion to weight.
+        let score = |p: &Part| {
+            let u = unit(stable_hash(p.seed, &key.to_le_bytes()));
+            -p.weight / (u + f64::EPSILON / 4.0).ln()
+        };
+        let live = self.parts.iter().filter(|p| p.weight > 0.0);
+        let best = live.map(|p| (score(p), p.to)).reduce(|a, b| if b.0 > a.0 { b } else { a });
+        best.map(|(_, to)| to)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn split(weights: &[f64]) -> Split {
+        let names: Vec<String> = (0..weights.len()).map(|i| format!("pool-{i}")).collect();
+        Split::new(weights.iter().enumerate().map(|(i, &w)| (i, &*names[i], w)))
+    }
+
+    #[test]
+    fn shares_follow_the_weights() {
+        let s = split(&[1.0, 0.0, 3.0]);
+        let mut got = [0.0; 3];
+        for key in 0..40_000 {
+            got[s.choose(key).unwrap()] += 1.0 / 40_000.0;
+        }
+        assert_eq!(got[1], 0.0);
+        assert!((got[0] - 0.25f64).abs() < 0.01, "{got:?}");
+        assert_eq!(split(&[0.0, f64::NAN]).choose(1), None);
+    }
+
+    proptest! {
+        /// Keys leave only what lost weight, and go only to what gained it.
+        #[test]
+        fn a_changed_weight_moves_keys_from_or_to_that_part_alone(
+            weights in prop::collection::vec(0.0..10.0f64, 2..6),
+            at in 0usize..6,
+            to in 0.0..10.0f64,
+        ) {
+            let at = at % weights.len();
+            let mut changed = weights.clone();
+            changed[at] = to;
+            let (old, new) = (split(&weights), split(&changed));
+            for key in 0..500 {
+                let (was, is) = (old.choose(key), new.choose(key));
+                if was != is {
+                    let moved = if to > weights[at] { is } else { was };
+                    prop_assert_eq!(moved, Some(at));
+                }
+            }
+        }
+    }
+}
