--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of this repository; `.ci/run` is what a change has to pass.
-.PHONY: build test lint run ci
+.PHONY: build test lint run check ci
 
 build:
 	cargo build --release --locked
@@ -12,10 +12,13 @@
 	cargo clippy --locked --all-targets -- -D warnings
 	RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --quiet
 
-# GW_CONFIG names the configuration: make run GW_CONFIG=config.json
-GW_CONFIG ?= deploy/example.json
+# FILE names the operator's file: make run FILE=my.toml
+FILE ?= deploy/example.toml
 run: build
-	GW_CONFIG="$(GW_CONFIG)" target/release/garnettally
+	target/release/garnettally serve "$(FILE)"
+
+check: build
+	target/release/garnettally check "$(FILE)"
 
 ci:
 	bash .ci/run
--- a/crates/config/src/file/check.rs
+++ b/crates/config/src/file/check.rs
@@ -70,6 +70,8 @@
     pub connections: Share,
     /// Its share of the requests in flight.
     pub requests: Share,
+    /// Its share of the memory for unfinished requests, in bytes.
+    pub memory: Share,
 }
 
 /// Where the nodes of a pool are told.
@@ -102,6 +104,8 @@
     pub requests: Share,
     /// Its share of the connections.
     pub connections: Share,
+    /// Its share of the memory for unfinished answers, in bytes.
+    pub memory: Share,
     /// When it is left in a failover list.
     pub failover: Rules,
 }
@@ -119,6 +123,8 @@
 const MOST_POOLS: usize = 10_000;
 const MOST_LISTENERS: usize = 256;
 const MOST_NODES: usize = 100_000;
+/// The most connections that a shadow pool has for itself.
+const MOST_SHADOW: usize = 1 << 20;
 const LONGEST: Duration = Duration::from_secs(24 * 3600);
 
 pub(super) struct Check<'d, 't> {
@@ -184,7 +190,7 @@
         let tenants: Vec<String> = f.tenants.keys().cloned().collect();
         let pools = self.pools(f, &classes, &facts);
         let routes = self.routes(f, &facts);
-        self.guarantees(f, descriptors, requests);
+        self.guarantees(f, descriptors, requests, memory_mb);
         if self.doc.failed() {
             return None;
         }
@@ -284,6 +290,11 @@
         Share { min, max }
     }
 
+    fn memory(&mut self, key: &Path, share: &format::Share) -> Share {
+        let Share { min, max } = self.share(key, share);
+        Share { min: min.saturating_mul(1024), max: max.saturating_mul(1024) }
+    }
+
     fn listeners(&mut self, f: &File) -> Vec<Listener> {
         let mut seen: BTreeMap<SocketAddr, &str> = BTreeMap::new();
         let mut all = Vec::new();
@@ -299,7 +310,8 @@
             }
             let connections = self.share(&key.key("connections"), &l.connections);
             let requests = self.share(&key.key("requests"), &l.requests);
-            all.push(Listener { name: name.clone(), address, connections, requests });
+            let memory = self.memory(&key.key("memory_kb"), &l.memory_kb);
+            all.push(Listener { name: name.clone(), address, connections, requests, memory });
         }
         all
     }
@@ -364,10 +376,13 @@
                 }
             };
             let rules = self.rules(&key.key("failover"), &p.failover);
-            let (requests, connections) = (
-                self.share(&key.key("requests"), &p.requests),
-                self.share(&key.key("connections"), &p.connections),
-            );
+            let memory = self.memory(&key.key("memory_kb"), &p.memory_kb);
+            let requests = self.share(&key.key("requests"), &p.requests);
+            let mut connections = self.share(&key.key("connections"), &p.connections);
+            if f.routes.iter().any(|r| r.mirror.as_ref().is_some_and(|m| m.pool == *name)) {
+                // A shadow pool has its connections for itself: it must not take from what is shared.
+                connections.min = connections.max.min(MOST_SHADOW);
+            }
             let second = Duration::from_secs(1);
             let ms = Duration::from_millis(1);
             let idle = self.time(&key.key("idle_timeout"), p.idle_timeout.as_ref(), 60 * second, 10 * ms);
@@ -380,6 +395,7 @@
                 discovery: p.discovery.as_ref().map(|_| String::new()),
                 requests: format::Share::default(),
                 connections: format::Share::default(),
+                memory_kb: format::Share::default(),
                 failover: format::Failover::default(),
                 connect_timeout: None,
                 ..p.clone()
@@ -393,6 +409,7 @@
                 keep_idle: idle * 2 / 3,
                 requests,
                 connections,
+                memory,
                 failover: rules,
             });
         }
@@ -747,8 +764,9 @@
     }
 
     /// What is guaranteed must be there.
-    fn guarantees(&mut self, f: &File, descriptors: usize, requests: usize) {
+    fn guarantees(&mut self, f: &File, descriptors: usize, requests: usize, memory_mb: usize) {
         let min = |s: &format::Share| s.min.unwrap_or(0);
+        let shadow = |name: &str| f.routes.iter().any(|r| r.mirror.as_ref().is_some_and(|m| m.pool == name));
         let listeners = f.listeners.values();
         let of_requests = listeners.clone().map(|l| min(&l.requests)).sum::<usize>()
             + f.pools.values().map(|p| min(&p.requests)).sum::<usize>()
@@ -760,8 +778,27 @@
             self.wrong(&limits.key("requests"), what, "raise it, or lower some min");
         }
         let room = crate::limits::connections(descriptors);
+        let kb = memory_mb * 1024 / 8;
+        let of_listeners: usize = listeners.clone().map(|l| min(&l.memory_kb)).sum();
+        let of_pools: usize = f.pools.values().map(|p| min(&p.memory_kb)).sum();
+        if of_listeners.max(of_pools) > kb {
+            let most = of_listeners.max(of_pools);
+            let what = format!("listeners, or pools, are guaranteed {most} KiB, and an eighth of it is {kb}");
+            self.wrong(&limits.key("memory_mb"), what, "raise it, or lower some memory_kb.min");
+        }
         let of_connections = listeners.map(|l| min(&l.connections)).sum::<usize>()
-            + f.pools.values().map(|p| min(&p.connections)).sum::<usize>();
+            + f.pools
+                .iter()
+                .map(
+                    |(name, p)| {
+                        if shadow(name) {
+                            p.connections.max.unwrap_or(0)
+                        } else {
+                            min(&p.connections)
+                        }
+                    },
+                )
+                .sum::<usize>();
         if of_connections > room {
             let what = format!(
                 "listeners and pools are guaranteed {of_connections} connections, and {descriptors} descriptors leave room for {room}"
--- a/crates/config/src/file/format.rs
+++ b/crates/config/src/file/format.rs
@@ -143,6 +143,9 @@
     /// Its requests in flight.
     #[serde(default)]
     pub requests: Share,
+    /// The memory of its unfinished requests, in KiB, of the eighth of `limits.memory_mb` that all may use.
+    #[serde(default)]
+    pub memory_kb: Share,
 }
 
 /// A kind of requests.
@@ -253,6 +256,8 @@
     pub requests: Share,
     /// Its connections to nodes, of the process's descriptors.
     pub connections: Share,
+    /// The memory of its unfinished long answers, in KiB, of the eighth of `limits.memory_mb` that all may use.
+    pub memory_kb: Share,
     /// When it is left in a list of `failover`, and how it is returned to.
     pub failover: Failover,
 }
--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -1,5 +1,6 @@
 //! Every size, count and time of the real balancer, filled once at start and handed down.
 
+use crate::file::Operator;
 use crate::platform::Config;
 use garnettally_model::Micros;
 use std::time::Duration;
@@ -75,28 +76,79 @@
     pub drain_accept: Duration,
     /// What is taken after SIGTERM is answered within so long of it: SIGKILL may follow.
     pub drain_answer: Duration,
+    /// How often a file of nodes is looked at; it is read once it has been the same at two looks.
+    pub nodes_poll: Duration,
+    /// A configuration file younger than this may still be being written: it is read once it has rested so long,
+    pub reload_rest: Duration,
+    /// and refused if it never does within this.
+    pub reload_wait: Duration,
     /// Log lines that may wait to be written; past them lines are dropped.
     pub log_lines: usize,
 }
 
+/// What the limits of a process follow from.
+struct Basis {
+    sockets: usize,
+    memory_mb: usize,
+    resolution: Duration,
+    /// After SIGTERM: until when what is taken is answered, and for how long connections are kept between requests.
+    drain_answer: Duration,
+    drain_keep: Duration,
+    upstream_connect: Duration,
+    upstream_idle: Duration,
+}
+
+fn time(m: Micros) -> Duration {
+    Duration::from_micros(m.0.max(0) as u64)
+}
+
 impl Limits {
-    /// The limits that follow from the configuration.
+    /// The limits that follow from the platform's configuration.
     pub fn new(config: &Config) -> Limits {
-        let time = |m: Micros| Duration::from_micros(m.0.max(0) as u64);
         // SIGKILL follows SIGTERM no sooner than the longest deadline, taken as 3 s at the most, and 0.7 s.
         let deadlines = config.site.settings.classes.iter().map(|c| time(c.deadline));
         let longest = deadlines.max().unwrap_or_default().min(Duration::from_secs(3));
         let drain_answer = longest + Duration::from_millis(500);
-        let connections = connections(config.sockets);
-        Limits {
+        Limits::from(Basis {
+            sockets: config.sockets,
+            memory_mb: config.memory_mb,
             resolution: time(config.site.settings.resolution),
+            drain_answer,
+            drain_keep: drain_answer.mul_f64(0.6),
+            upstream_connect: config.dial_timeout.map_or(Duration::from_millis(250), time),
+            upstream_idle: time(config.site.settings.idle_close) * 2 / 3,
+        })
+    }
+
+    /// The limits that follow from an operator's file. Nothing there says when SIGKILL follows SIGTERM: as is
+    /// common, 30 s are left for the longest request, and callers get 2 s to find another way.
+    pub fn of_operator(operator: &Operator) -> Limits {
+        let deadlines = operator.routes.iter().map(|(r, _)| time(r.deadline.ceiling));
+        let longest = deadlines.max().unwrap_or_default();
+        let drain_answer =
+            longest.clamp(Duration::from_secs(3), Duration::from_secs(30)) + Duration::from_millis(500);
+        Limits::from(Basis {
+            sockets: operator.descriptors,
+            memory_mb: operator.memory_mb,
+            resolution: Duration::ZERO,
+            drain_answer,
+            drain_keep: Duration::from_secs(2),
+            upstream_connect: Duration::from_millis(250),
+            upstream_idle: Duration::from_secs(40),
+        })
+    }
+
+    fn from(basis: Basis) -> Limits {
+        let connections = connections(basis.sockets);
+        Limits {
+            resolution: basis.resolution,
             head_bytes: 16 << 10,
             headers: 64,
             body_bytes: 64 << 10,
             message_bytes: 96 << 10,
             answer_body_bytes: 1 << 20,
             answer_bytes: (1 << 20) + (64 << 10),
-            answers_bytes: (config.memory_mb << 20) / 8,
+            answers_bytes: (basis.memory_mb << 20) / 8,
             read_bytes: 16 << 10,
             kept_bytes: 4 << 10,
             chunk_line_bytes: 4 << 10,
@@ -110,9 +162,9 @@
             caller_fresh: Duration::from_millis(100),
             caller_linger: Duration::from_secs(2),
             caller_discard: 256 << 10,
-            caller_bytes: (config.memory_mb << 20) / 8,
-            upstream_connect: config.dial_timeout.map_or(Duration::from_millis(250), time),
-            upstream_idle: time(config.site.settings.idle_close) * 2 / 3,
+            caller_bytes: (basis.memory_mb << 20) / 8,
+            upstream_connect: basis.upstream_connect,
+            upstream_idle: basis.upstream_idle,
             upstream_idle_least: Duration::from_millis(50),
             upstream_stale: Duration::from_millis(20),
             upstream_idle_memory: Duration::from_secs(30),
@@ -120,9 +172,12 @@
             discovery_answer: Duration::from_millis(3500),
             discovery_silence: Duration::from_millis(4500),
             sweep: Duration::from_millis(250),
-            drain_keep: drain_answer.mul_f64(0.6),
-            drain_accept: drain_answer.mul_f64(0.6) + Duration::from_millis(200),
-            drain_answer,
+            drain_keep: basis.drain_keep,
+            drain_accept: basis.drain_keep + Duration::from_millis(200),
+            drain_answer: basis.drain_answer,
+            nodes_poll: Duration::from_millis(250),
+            reload_rest: Duration::from_millis(50),
+            reload_wait: Duration::from_secs(2),
             log_lines: 1024,
         }
     }
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -44,6 +44,16 @@
     charged: Option<HolderId>,
 }
 
+impl Permit {
+    /// Whether giving this back would let a holder have the unit that it was refused.
+    pub fn helps(&self, holder: HolderId, why: Refusal) -> bool {
+        match why {
+            Refusal::Maximum(full) => self.holders.contains(&Some(full)),
+            Refusal::Shared => self.charged.is_none_or(|own| own == holder),
+        }
+    }
+}
+
 /// Why a unit can't be had.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -126,8 +136,8 @@
         self.beyond += h.own.saturating_sub(h.share.min);
     }
 
-    /// Takes a unit for these holders, three at the most.
-    pub fn take(&mut self, holders: &[HolderId]) -> Result<Permit, Refusal> {
+    /// Whether these holders could have a unit, and whose minimum it would be charged to.
+    pub fn check(&self, holders: &[HolderId]) -> Result<Option<HolderId>, Refusal> {
         let mut own = None;
         for &id in holders.iter().take(3) {
             let Some(h) = self.holders.get(id.0 as usize).and_then(Option::as_ref) else {
@@ -144,6 +154,12 @@
         if own.is_none() && self.shared_out + self.beyond >= shared {
             return Err(Refusal::Shared);
         }
+        Ok(own)
+    }
+
+    /// Takes a unit for these holders, three at the most.
+    pub fn take(&mut self, holders: &[HolderId]) -> Result<Permit, Refusal> {
+        let own = self.check(holders)?;
         let mut permit = Permit { holders: [None; 3], charged: own };
         for (place, &id) in permit.holders.iter_mut().zip(holders) {
             *place = Some(id);
@@ -181,6 +197,16 @@
     }
 }
 
+/// Whether the holder at this place uses more of a capacity than it may, by the same rules, where amounts are measured
+/// and not taken unit by unit, as memory is: beyond its maximum, or beyond its minimum while what all use beyond
+/// theirs is more than what is shared.
+pub fn exceeds(capacity: usize, holders: &[(Share, usize)], at: usize) -> bool {
+    let Some((share, used)) = holders.get(at) else { return false };
+    let guaranteed: usize = holders.iter().map(|(s, _)| s.min).sum();
+    let borrowed: usize = holders.iter().map(|(s, used)| used.saturating_sub(s.min)).sum();
+    *used > share.max || (*used > share.min && borrowed > capacity.saturating_sub(guaranteed))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -217,6 +243,17 @@
         assert_eq!(b.join(Share::default()), a);
     }
 
+    #[test]
+    fn who_borrows_exceeds_and_who_keeps_to_its_minimum_never_does() {
+        let share = |min, max| Share { min, max };
+        let holders = [(share(30, 100), 30), (share(0, 100), 71), (share(0, 50), 0)];
+        assert!(!exceeds(100, &holders, 0));
+        assert!(exceeds(100, &holders, 1), "71 of the 70 that are shared");
+        assert!(!exceeds(101, &holders, 1));
+        assert!(exceeds(1_000, &[(share(0, 50), 51)], 0), "its maximum");
+        assert!(!exceeds(0, &holders, 9));
+    }
+
     #[derive(Clone, Debug)]
     enum Op {
         Take(usize, usize),
--- a/crates/routing/src/failover.rs
+++ b/crates/routing/src/failover.rs
@@ -74,6 +74,12 @@
         Fitness { rules, state: State::Fit { since: now }, falls: 0, share: 1.0 }
     }
 
+    /// Goes on by other rules; where the pool stands, it stays.
+    pub fn change(&mut self, rules: Rules, now: Micros) {
+        self.rules = rules;
+        self.update(now, self.share);
+    }
+
     /// Takes in the healthy share of the moment.
     pub fn update(&mut self, now: Micros, share: f64) -> Option<Change> {
         self.share = if share.is_finite() { share.clamp(0.0, 1.0) } else { 0.0 };
--- /dev/null
+++ b/crates/routing/src/health.rs
@@ -0,0 +1,107 @@
+//! How many of a pool's nodes are well, as far as failover between pools is concerned.
+//!
+//! The decision module leaves out single outliers, and never most of them: where all are in trouble it has nobody to
+//! prefer. Failover asks the other question, whether the pool as a whole can serve, so it keeps plain marks of its
+//! own: a node is down once so many attempts in a row have failed there, until one succeeds or the mark is old. Old
+//! marks go because a pool that is left brings no news of its nodes.
+
+use garnettally_model::{Code, Listed, Micros, ServerId};
+use rustc_hash::FxHashMap;
+
+/// Failures in a row that mark a node as down: one may be the request's fault.
+const FAILURES: u32 = 3;
+/// For how long a mark is believed without news; shorter than the hold of any sensible rule.
+const MEMORY: Micros = Micros(5_000_000);
+
+#[derive(Clone, Copy, Default)]
+struct Mark {
+    failures: u32,
+    at: Micros,
+}
+
+/// The nodes of one pool.
+#[derive(Default)]
+pub struct Nodes {
+    listed: FxHashMap<ServerId, (bool, Mark)>,
+    ready: usize,
+}
+
+impl Nodes {
+    /// A whole list has come: those that it leaves out go, and are named.
+    pub fn keep_listed(&mut self, keep: impl Fn(ServerId) -> bool) -> Vec<ServerId> {
+        let gone: Vec<ServerId> = self.listed.keys().copied().filter(|id| !keep(*id)).collect();
+        for &id in &gone {
+            self.list(id, Listed::Gone);
+        }
+        gone
+    }
+
+    /// Takes in one entry of a list.
+    pub fn list(&mut self, id: ServerId, state: Listed) {
+        let ready = state == Listed::Ready;
+        let before = match state {
+            Listed::Gone => self.listed.remove(&id).map(|(was, _)| was),
+            _ => {
+                let mark = self.listed.get(&id).map(|(_, mark)| *mark).unwrap_or_default();
+                self.listed.insert(id, (ready, mark)).map(|(was, _)| was)
+            }
+        };
+        self.ready = self.ready + usize::from(ready) - usize::from(before == Some(true));
+    }
+
+    /// Takes in how an attempt ended.
+    pub fn ended(&mut self, now: Micros, id: ServerId, code: Code) {
+        let Some((_, mark)) = self.listed.get_mut(&id) else { return };
+        match code {
+            Code::Ok | Code::Rejected => *mark = Mark::default(),
+            Code::Error | Code::Timeout | Code::ConnectFailed | Code::Reset => {
+                let before = if now - mark.at > MEMORY { 0 } else { mark.failures };
+                *mark = Mark { failures: before.saturating_add(1), at: now };
+            }
+            // Full: it is there, and says so. The others tell nothing of it.
+            Code::Full | Code::Cancelled | Code::Moot => {}
+        }
+    }
+
+    /// Nodes that are listed as ready.
+    pub fn ready(&self) -> usize {
+        self.ready
+    }
+
+    /// Of the nodes listed, the part that is ready and not marked as down; 0 without any.
+    pub fn healthy_share(&self, now: Micros) -> f64 {
+        let well =
+            |(ready, mark): &&(bool, Mark)| *ready && (mark.failures < FAILURES || now - mark.at > MEMORY);
+        self.listed.values().filter(well).count() as f64 / self.listed.len().max(1) as f64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_node_is_down_after_failures_in_a_row_until_it_serves_or_the_mark_is_old() {
+        let (a, b) = (ServerId(0), ServerId(1));
+        let mut n = Nodes::default();
+        assert_eq!(n.healthy_share(Micros(0)), 0.0);
+        n.list(a, Listed::Ready);
+        n.list(b, Listed::Ready);
+        for code in [Code::Error, Code::Full, Code::Reset, Code::Cancelled] {
+            n.ended(Micros(1), a, code);
+        }
+        assert_eq!(n.healthy_share(Micros(1)), 1.0, "two failures are not enough");
+        n.ended(Micros(1), a, Code::ConnectFailed);
+        assert_eq!(n.healthy_share(Micros(1)), 0.5);
+        assert_eq!(n.healthy_share(Micros(2) + MEMORY), 1.0, "the mark is old");
+        n.ended(Micros(2), a, Code::Ok);
+        assert_eq!(n.healthy_share(Micros(2)), 1.0);
+        n.list(b, Listed::Draining);
+        assert_eq!((n.ready(), n.healthy_share(Micros(2))), (1, 0.5));
+        n.list(b, Listed::Gone);
+        n.list(b, Listed::Gone);
+        assert_eq!((n.ready(), n.healthy_share(Micros(2))), (1, 1.0));
+        assert_eq!(n.keep_listed(|_| false), [a]);
+        assert_eq!((n.ready(), n.healthy_share(Micros(2))), (0, 0.0));
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`route`]: what a matched route says of its request: class, tenant, key, deadline, pools.
 //! - [`split`]: weighted splits, sticky by key, that move as few keys as can be when weights change.
 //! - [`failover`]: when a pool of a priority list is left, and how slowly it is returned to.
+//! - [`health`]: how many nodes of a pool are well, which failover goes by.
 //! - [`pins`]: which pool a key's first attempt went to, for as long as a repeat must not go elsewhere.
 //! - [`budget`]: capacity shared by guaranteed minimum and borrowing.
 //!
@@ -15,6 +16,7 @@
 
 pub mod budget;
 pub mod failover;
+pub mod health;
 pub mod pattern;
 pub mod pins;
 pub mod route;
--- a/crates/routing/src/pins.rs
+++ b/crates/routing/src/pins.rs
@@ -38,6 +38,17 @@
         self.by_key.len()
     }
 
+    /// Whether no new key can be taken.
+    pub fn full(&mut self, now: Micros) -> bool {
+        self.expire(now);
+        self.by_key.len() >= self.most
+    }
+
+    /// Changes the room; keys that are held stay.
+    pub fn resize(&mut self, most: usize) {
+        self.most = most;
+    }
+
     /// The pool that a key is bound to, and until when.
     pub fn get(&self, now: Micros, key: u64) -> Option<(P, Micros)> {
         self.by_key.get(&key).filter(|p| p.until > now).map(|p| (p.pool, p.until))
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -1,18 +1,24 @@
 //! The downstream side: the listener and the connections of callers.
 
-use crate::exchange::{Final, Unfit};
-use crate::http::{self, Bad, Incoming};
+use crate::admission::Unfit;
+use crate::exchange::Final;
+use crate::http::{self, Bad, Incoming, Outgoing};
+use crate::lease::Lease;
+use crate::pools::Budgets;
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use garnettally_config::file::Listener as Plan;
 use garnettally_decisions::facade::RequestId;
+use garnettally_routing::budget::{exceeds, HolderId, Refusal, Share};
 use rustc_hash::FxHashMap;
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What a caller's connection is doing.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -26,6 +32,10 @@
 }
 
 struct Conn {
+    listener: ListenerId,
+    /// Its places among the connections of both sides, and among the callers'.
+    lease: Lease,
+    _caller: Lease,
     socket: Watched,
     state: State,
     input: Vec<u8>,
@@ -40,58 +50,137 @@
     since: Instant,
 }
 
-/// The listener and its connections.
+/// The number of a listener; never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ListenerId(u64);
+
+/// One address that callers connect to.
+struct Listener {
+    name: String,
+    /// As the configuration says; with port 0 another one is bound.
+    address: SocketAddr,
+    /// `None`: it is closed, and its connections end.
+    socket: Option<(Rc<TcpListener>, RegistrationToken)>,
+    /// When accepting goes on, if it rests.
+    resume: Option<Instant>,
+    connections: HolderId,
+    callers: HolderId,
+    requests: HolderId,
+    memory: Share,
+}
+
+/// The listeners and their connections.
+#[derive(Default)]
 pub struct Callers {
-    listener: Option<(Rc<TcpListener>, RegistrationToken)>,
+    listeners: BTreeMap<ListenerId, Listener>,
+    next: u64,
     conns: FxHashMap<ConnId, Conn>,
-    resume: Option<Instant>,
     /// Those that had more to throw away than one turn takes.
     unread: Vec<ConnId>,
 }
 
+/// Binds an address and begins to listen; nothing is accepted before [`Callers::add`] has it watched.
+pub fn bind(net: &Net, address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?; // a restart must not wait for the old connections
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(net.limits.backlog)?;
+    Ok(TcpListener::from(socket))
+}
+
 impl Callers {
-    /// Binds the address and begins to listen.
-    pub fn listen(net: &Net, address: SocketAddr) -> io::Result<Callers> {
-        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_reuse_address(true)?; // a restart must not wait for the old connections
-        socket.set_nonblocking(true)?;
-        socket.bind(&address.into())?;
-        socket.listen(net.limits.backlog)?;
-        let listener = Rc::new(TcpListener::from(socket));
+    /// Accepts on a listener that is bound.
+    pub fn add(&mut self, net: &Net, budgets: &Budgets, plan: Plan, bound: TcpListener) -> io::Result<()> {
+        self.next += 1;
+        let id = ListenerId(self.next);
+        let listener = Rc::new(bound);
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
-        let token = net.handle.insert_source(source, |_, _, proxy: &mut Proxy| {
-            proxy.accept();
+        let token = net.handle.insert_source(source, move |_, _, proxy: &mut Proxy| {
+            proxy.accept(id);
             Ok(PostAction::Continue)
         });
         let token = token.map_err(|e| io::Error::other(e.error))?;
-        Ok(Callers {
-            listener: Some((listener, token)),
-            conns: FxHashMap::default(),
+        let listener = Listener {
+            name: plan.name,
+            address: plan.address,
+            socket: Some((listener, token)),
             resume: None,
-            unread: Vec::new(),
-        })
+            connections: budgets.connections.join(plan.connections),
+            callers: budgets.callers.join(plan.connections),
+            requests: budgets.requests.join(plan.requests),
+            memory: plan.memory,
+        };
+        self.listeners.insert(id, listener);
+        Ok(())
     }
 
-    pub fn count(&self) -> usize {
-        self.conns.len()
+    /// The open listeners: number, name and configured address.
+    pub fn listening(&self) -> impl Iterator<Item = (ListenerId, &str, SocketAddr)> {
+        let open = self.listeners.iter().filter(|(_, l)| l.socket.is_some());
+        open.map(|(&id, l)| (id, l.name.as_str(), l.address))
     }
 
-    /// When accepting goes on, if it rests.
+    /// Changes the shares of a listener that stays.
+    pub fn change(&mut self, budgets: &Budgets, id: ListenerId, plan: &Plan) {
+        if let Some(l) = self.listeners.get_mut(&id) {
+            budgets.connections.change(l.connections, plan.connections);
+            budgets.callers.change(l.callers, plan.connections);
+            budgets.requests.change(l.requests, plan.requests);
+            l.memory = plan.memory;
+        }
+    }
+
+    /// Ends a listener, after what the kernel has accepted for it was taken. Its connections go on until they are
+    /// between requests.
+    fn close_listener(&mut self, net: &Net, id: ListenerId) {
+        if let Some(listener) = self.listeners.get_mut(&id) {
+            if let Some((_, token)) = listener.socket.take() {
+                net.handle.remove(token);
+            }
+            listener.resume = None;
+        }
+    }
+
+    /// Whose share of the requests those of a listener are.
+    pub fn request_holder(&self, id: ListenerId) -> Option<HolderId> {
+        self.listeners.get(&id).map(|l| l.requests)
+    }
+
+    pub fn listener_name(&self, id: ListenerId) -> &str {
+        self.listeners.get(&id).map_or("", |l| l.name.as_str())
+    }
+
+    /// A request that waits for its answer has got another number.
+    pub fn waits_for(&mut self, caller: ConnId, number: RequestId) {
+        if let Some(conn) = self.conns.get_mut(&caller) {
+            conn.state = State::Waiting(number);
+        }
+    }
+
+    /// When accepting goes on, where it rests.
     pub fn resume_at(&self) -> Option<Instant> {
-        self.resume
+        self.listeners.values().filter_map(|l| l.resume).min()
     }
 
-    /// The connection between requests that is missed least: one that never brought a request, before those
-    /// of the usual clients, who come back to theirs; then the one that has been idle for longest.
-    fn oldest_idle(&self, fresh: Option<Instant>) -> Option<ConnId> {
+    /// The connection between requests that is missed least, of those that fit: one that never brought a request,
+    /// before those of the usual clients, who come back to theirs; then the one that has been idle for longest.
+    fn oldest_idle(&self, fresh: Option<Instant>, fits: impl Fn(&Conn) -> bool) -> Option<ConnId> {
         let idle =
             self.conns.iter().filter(|(_, c)| c.idle() && fresh.is_none_or(|at| c.spoke || c.since <= at));
-        idle.min_by_key(|(_, c)| (c.spoke, c.since)).map(|(&id, _)| id)
+        idle.filter(|(_, c)| fits(c)).min_by_key(|(_, c)| (c.spoke, c.since)).map(|(&id, _)| id)
     }
 
-    /// What is held of requests that are not whole, and of those that wait behind another.
-    fn held(&self) -> usize {
-        self.conns.values().map(|c| c.input.len()).sum()
+    /// Whether a listener's connections hold more than they may of requests that are not whole, and of those that
+    /// wait behind another.
+    fn hold_too_much(&self, id: ListenerId, capacity: usize) -> bool {
+        let mut held: BTreeMap<ListenerId, (Share, usize)> =
+            self.listeners.iter().map(|(&id, l)| (id, (l.memory, 0))).collect();
+        for c in self.conns.values() {
+            held.entry(c.listener).or_default().1 += c.input.len();
+        }
+        let at = held.keys().position(|&l| l == id).unwrap_or(usize::MAX);
+        exceeds(capacity, &held.into_values().collect::<Vec<_>>(), at)
     }
 
     /// Whether there is more to throw away.
@@ -105,12 +194,16 @@
         }
     }
 
-    /// Ends the listening.
+    /// Ends all listening.
     pub fn stop_listening(&mut self, net: &Net) {
-        if let Some((_, token)) = self.listener.take() {
-            net.handle.remove(token);
+        for id in self.listeners.keys().copied().collect::<Vec<_>>() {
+            self.close_listener(net, id);
         }
-        self.resume = None;
+    }
+
+    /// Whether the listener of a connection has been closed.
+    fn left(&self, conn: &Conn) -> bool {
+        self.listeners.get(&conn.listener).is_none_or(|l| l.socket.is_none())
     }
 
     /// Whether an answer is still to be written, or a request begun is still to come in.
@@ -129,16 +222,29 @@
 }
 
 impl Proxy {
+    /// Takes every connection that waits, at every listener.
+    pub fn accept_all(&mut self) {
+        for id in self.callers.listeners.keys().copied().collect::<Vec<_>>() {
+            self.accept(id);
+        }
+    }
+
     /// Takes every connection that waits. At the limit idle ones make room; while none is idle, the rest
     /// wait in the kernel's queue: closing one there would lose a request that is taken already.
-    pub fn accept(&mut self) {
-        while let Some((listener, _)) = &self.callers.listener {
-            let listener = listener.clone();
-            // One over the limit, until the next one comes: nothing is closed for a connection not there.
-            let full = self.callers.count() > self.net.limits.callers;
-            let room = if full { self.close_idle_caller() } else { self.make_room() };
-            if !room {
-                return self.rest_accepting("no connection is idle");
+    pub fn accept(&mut self, at: ListenerId) {
+        while let Some((l, (listener, _))) =
+            self.callers.listeners.get(&at).and_then(|l| l.socket.as_ref().map(|s| (l, s)))
+        {
+            let (listener, connections, callers) = (listener.clone(), l.connections, l.callers);
+            // The callers' own limit is one more than that, until the next one comes: nothing is closed for a
+            // connection that is not there.
+            while let Err(why) = self.budgets.callers.check(&[callers]) {
+                if !self.close_idle_caller_for(|c| c._caller.helps(callers, why)) {
+                    return self.rest_accepting(at, "no connection is idle");
+                }
+            }
+            if !self.has_room(connections) {
+                return self.rest_accepting(at, "no connection is idle");
             }
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
@@ -147,11 +253,14 @@
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(e) => {
-                    self.upstreams.close_oldest_idle(&self.net);
+                    self.upstreams.close_oldest_idle(&self.net, |_| true);
                     self.close_idle_caller();
-                    return self.rest_accepting(&e.to_string());
+                    return self.rest_accepting(at, &e.to_string());
                 }
             };
+            let leases =
+                (self.budgets.connections.take(&[connections]), self.budgets.callers.take(&[callers]));
+            let (Ok(lease), Ok(caller)) = leases else { continue };
             let id = self.net.number();
             let stream =
                 stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).map(|()| stream);
@@ -164,6 +273,9 @@
                 }
             };
             let conn = Conn {
+                listener: at,
+                lease,
+                _caller: caller,
                 socket,
                 state: State::Reading,
                 input: Vec::new(),
@@ -178,20 +290,59 @@
         }
     }
 
-    fn rest_accepting(&mut self, why: &str) {
-        if let Some((_, token)) = &self.callers.listener {
-            warn!(self.net.log, "accepting rests"; "why" => why, "callers" => self.callers.conns.len());
+    fn rest_accepting(&mut self, at: ListenerId, why: &str) {
+        let callers = self.callers.conns.len();
+        let Some(listener) = self.callers.listeners.get_mut(&at) else { return };
+        if let Some((_, token)) = &listener.socket {
+            warn!(self.net.log, "accepting rests"; "why" => why, "callers" => callers, "listener" => &listener.name);
             let _ = self.net.handle.disable(token);
-            self.callers.resume = Some(Instant::now() + self.net.limits.accept_rest);
+            listener.resume = Some(Instant::now() + self.net.limits.accept_rest);
         }
     }
 
     /// Goes on accepting after a rest.
     pub fn resume_accepting(&mut self, now: Instant) {
-        if self.callers.resume.is_some_and(|at| at <= now) {
-            self.callers.resume = None;
-            if let Some((_, token)) = &self.callers.listener {
-                let _ = self.net.handle.enable(token);
+        for listener in self.callers.listeners.values_mut() {
+            if listener.resume.is_some_and(|at| at <= now) {
+                listener.resume = None;
+                if let Some((_, token)) = &listener.socket {
+                    let _ = self.net.handle.enable(token);
+                }
+            }
+        }
+    }
+
+    /// Closes a listener that the newest version does not name.
+    pub fn leave_listener(&mut self, id: ListenerId) {
+        // What the kernel has accepted is taken already.
+        self.accept(id);
+        self.callers.close_listener(&self.net, id);
+    }
+
+    /// Ends what the listeners that were closed have left, once it is between requests.
+    pub fn end_left_listeners(&mut self) {
+        let closed = |l: &Listener| l.socket.is_none();
+        if self.shutdown.closing() || !self.callers.listeners.values().any(closed) {
+            return;
+        }
+        let idle = self.callers.conns.iter().filter(|(_, c)| c.idle() && self.callers.left(c));
+        let idle: Vec<ConnId> = idle.map(|(&id, _)| id).collect();
+        for id in idle {
+            self.close_if_idle(id);
+        }
+        let used: BTreeSet<ListenerId> = self.callers.conns.values().map(|c| c.listener).collect();
+        let done: Vec<ListenerId> = self
+            .callers
+            .listeners
+            .iter()
+            .filter(|(id, l)| closed(l) && !used.contains(id))
+            .map(|(&id, _)| id)
+            .collect();
+        for id in done {
+            if let Some(l) = self.callers.listeners.remove(&id) {
+                self.budgets.connections.leave(l.connections);
+                self.budgets.callers.leave(l.callers);
+                self.budgets.requests.leave(l.requests);
             }
         }
     }
@@ -206,7 +357,7 @@
         let (read_bytes, caller_bytes, discard) =
             (limits.read_bytes, limits.caller_bytes, limits.caller_discard);
         let most = if conn.state == State::Reading { limits.message_bytes } else { read_bytes };
-        let was_idle = conn.idle();
+        let (was_idle, listener) = (conn.idle(), conn.listener);
         let mut reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
         let mut discarded = 0;
         while conn.state == State::Lingering && !conn.input.is_empty() {
@@ -224,7 +375,7 @@
         match (reading, conn.state) {
             (Reading::Open, State::Reading) => {
                 self.take_requests(id);
-                if large && self.callers.held() > caller_bytes {
+                if large && self.callers.hold_too_much(listener, caller_bytes) {
                     self.reject_unfinished(id);
                 }
             }
@@ -283,22 +434,16 @@
                     conn.close = !request.keep_alive;
                     if request.path() == "/ready" {
                         let status = if self.ready() { 200 } else { 503 };
-                        self.write_answer(id, status, &[], &[]);
+                        self.write_answer(id, &Outgoing { status, ..Outgoing::default() });
                     } else {
-                        let taken = http::call(&request).and_then(|call| {
-                            self.take_request(id, &call).map_err(|unfit| match unfit {
-                                Unfit::Class => Bad(404),
-                                Unfit::Method => Bad(405),
-                                Unfit::NoKey | Unfit::IdInUse => Bad(400),
-                            })
-                        });
-                        match (taken, self.callers.conns.get_mut(&id)) {
-                            (Ok(number), Some(conn)) => {
-                                conn.state = State::Waiting(number);
-                                self.exchanges.keep(number, request);
+                        let listener = conn.listener;
+                        match (self.take_request(id, listener, *request), self.callers.conns.get_mut(&id)) {
+                            (Ok(number), Some(conn)) => conn.state = State::Waiting(number),
+                            (Err(Unfit::Bad(bad)), _) => self.reject_caller(id, bad),
+                            (Err(Unfit::Refused { retry_after, .. }), _) => {
+                                self.write_refusal(id, retry_after)
                             }
-                            (Err(bad), _) => self.reject_caller(id, bad),
-                            _ => {}
+                            (Ok(_), None) => {}
                         }
                     }
                 }
@@ -314,18 +459,28 @@
             conn.close = true;
             conn.input = Vec::new();
         }
-        self.write_answer(id, status, &[], &[]);
+        self.write_answer(id, &Outgoing { status, ..Outgoing::default() });
+    }
+
+    fn write_refusal(&mut self, id: ConnId, retry_after: Option<Duration>) {
+        // Other installations' clients read whole seconds, as the standard has it.
+        let advice = retry_after.map(|t| match self.version.is_some() {
+            true => format!("Retry-After: {}\r\n", t.as_secs_f64().ceil().max(1.0)),
+            false => format!("Retry-After: {:.3}\r\n", t.as_secs_f64()),
+        });
+        let headers = advice.unwrap_or_default();
+        self.write_answer(id, &Outgoing { status: 503, headers: headers.as_bytes(), ..Outgoing::default() });
     }
 
     /// Gives a request its final answer, and the connection's next request its turn.
     pub fn answer_caller(&mut self, id: ConnId, answer: Final<'_>) {
         match answer {
-            Final::Passed(a) => self.write_answer(id, a.status, &a.headers, &a.body),
-            Final::Failed => self.write_answer(id, 502, &[], &[]),
-            Final::Refused { retry_after } => {
-                let advice = retry_after.map(|t| format!("Retry-After: {:.3}\r\n", t.as_secs_f64()));
-                self.write_answer(id, 503, advice.unwrap_or_default().as_bytes(), &[]);
+            Final::Passed(a) => {
+                let (status, headers, body) = (a.status, &a.headers[..], &a.body[..]);
+                self.write_answer(id, &Outgoing { status, headers, body, bare_length: a.bare_length });
             }
+            Final::Failed => self.write_answer(id, &Outgoing { status: 502, ..Outgoing::default() }),
+            Final::Refused { retry_after } => self.write_refusal(id, retry_after),
         }
         // It may have sent the next one meanwhile.
         if self.callers.conns.get(&id).is_some_and(|c| !c.input.is_empty()) {
@@ -334,11 +489,12 @@
     }
 
     /// Writes an answer; then the connection closes, or takes its next request.
-    fn write_answer(&mut self, id: ConnId, status: u16, headers: &[u8], body: &[u8]) {
-        let closing = self.shutdown.closing();
+    fn write_answer(&mut self, id: ConnId, answer: &Outgoing<'_>) {
+        let closing = self.shutdown.closing()
+            || self.callers.conns.get(&id).is_some_and(|conn| self.callers.left(conn));
         let Some(conn) = self.callers.conns.get_mut(&id) else { return };
         conn.close |= closing;
-        http::write_answer(&mut conn.output, status, headers, body, conn.close);
+        http::write_answer(&mut conn.output, answer, conn.close);
         conn.state = if conn.close { State::Lingering } else { State::Reading };
         conn.since = Instant::now();
         if flush(conn).is_err() {
@@ -383,20 +539,36 @@
     /// Closes the connection that has been between requests for longest. One whose next request lies in the
     /// socket is not between requests: that request is taken, and closing would lose it.
     pub fn close_idle_caller(&mut self) -> bool {
+        self.close_idle_caller_for(|_| true)
+    }
+
+    /// The same for those whose place helps a holder that was refused one.
+    pub fn close_idle_caller_helping(&mut self, holder: HolderId, why: Refusal) -> bool {
+        self.close_idle_caller_for(|c| c.lease.helps(holder, why))
+    }
+
+    fn close_idle_caller_for(&mut self, fits: impl Fn(&Conn) -> bool) -> bool {
         // At the end all have to go; to make room, only those that are not about to ask.
         let fresh =
             Instant::now().checked_sub(self.net.limits.caller_fresh).filter(|_| !self.shutdown.closing());
-        while let Some(id) = self.callers.oldest_idle(fresh) {
-            let Some(conn) = self.callers.conns.get(&id) else { return false };
-            if conn.socket.stream.peek(&mut [0]).is_ok_and(|n| n > 0) {
-                self.caller_ready(id);
-                continue;
+        while let Some(id) = self.callers.oldest_idle(fresh, &fits) {
+            if self.close_if_idle(id) {
+                return true;
             }
-            self.callers.drop_conn(&self.net, id);
-            return true;
         }
         false
     }
+
+    /// Closes a connection between requests, unless its next one lies in the socket: that one is taken up.
+    fn close_if_idle(&mut self, id: ConnId) -> bool {
+        let Some(conn) = self.callers.conns.get(&id) else { return false };
+        if conn.socket.stream.peek(&mut [0]).is_ok_and(|n| n > 0) {
+            self.caller_ready(id);
+            return false;
+        }
+        self.callers.drop_conn(&self.net, id);
+        true
+    }
 }
 
 /// Writes what is to be written; the end of the last answer ends the sending.
--- a/crates/serve/src/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -1,6 +1,8 @@
 //! Where the upstreams come from: a watch on the discovery service. When to ask is the module's decision.
 
 use crate::http::{self, Chunks};
+use crate::pools::PoolId;
+use crate::source::Source;
 use crate::{Proxy, Reading, Watched};
 use garnettally_config::platform::decode_hosts;
 use garnettally_decisions::facade::Report;
@@ -32,6 +34,11 @@
         Discovery { address, version, watch: None }
     }
 
+    /// Where it answers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// When silence ends the watch.
     pub fn deadline(&self) -> Option<Instant> {
         self.watch.as_ref().map(|w| w.deadline)
@@ -39,103 +46,130 @@
 }
 
 impl Proxy {
+    fn discovery(&mut self, pool: PoolId) -> Option<&mut Discovery> {
+        match &mut self.pools.get_mut(pool)?.source {
+            Source::Watch(discovery) => Some(discovery),
+            _ => None,
+        }
+    }
+
     /// Goes over to a discovery service at another address. What its versions count is its own affair, so it
     /// is asked for all, and at once: what it has to tell must not wait for the old one to go away.
-    pub fn follow_discovery(&mut self, address: SocketAddr) {
-        if address != self.discovery.address {
-            info!(self.net.log, "discovery has moved"; "from" => %self.discovery.address, "to" => %address);
-            self.end_watch();
-            (self.discovery.address, self.discovery.version) = (address, 0);
-            self.start_watch();
+    pub fn follow_discovery(&mut self, pool: PoolId, address: SocketAddr) {
+        let Some(old) = self.discovery(pool).map(|d| d.address).filter(|old| *old != address) else { return };
+        info!(self.net.log, "discovery has moved"; "from" => %old, "to" => %address);
+        self.end_watch(pool);
+        if let Some(discovery) = self.discovery(pool) {
+            (discovery.address, discovery.version) = (address, 0);
         }
+        self.start_watch(pool);
     }
 
     /// Asks for changes from the version held on, unless a watch is there.
-    pub fn start_watch(&mut self) {
-        if self.discovery.watch.is_some() {
-            return;
-        }
+    pub fn start_watch(&mut self, pool: PoolId) {
         let number = self.net.number();
-        let ready = move |proxy: &mut Proxy, r: calloop::Readiness| proxy.discovery_ready(number, r.writable);
-        let socket = match crate::connect(self.discovery.address).and_then(|s| self.net.watch(s, ready)) {
+        let Some((address, version)) =
+            self.discovery(pool).filter(|d| d.watch.is_none()).map(|d| (d.address, d.version))
+        else {
+            return;
+        };
+        let ready =
+            move |proxy: &mut Proxy, r: calloop::Readiness| proxy.discovery_ready(pool, number, r.writable);
+        let socket = match crate::connect(address).and_then(|s| self.net.watch(s, ready)) {
             Ok(socket) => socket,
-            Err(e) => return self.watch_failed(&e.to_string()),
+            Err(e) => return self.watch_failed(pool, &e.to_string()),
         };
-        let (version, host) = (self.discovery.version, self.discovery.address);
-        let output = format!("GET /v1/endpoints?stream=1&index={version} HTTP/1.1\r\nHost: {host}\r\n\r\n");
-        self.discovery.watch = Some(Watch {
-            number,
-            socket,
-            output: output.into_bytes(),
-            written: 0,
-            input: Vec::new(),
-            chunks: None,
-            line: Vec::new(),
-            deadline: Instant::now() + self.net.limits.discovery_connect,
-        });
+        let output =
+            format!("GET /v1/endpoints?stream=1&index={version} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        let deadline = Instant::now() + self.net.limits.discovery_connect;
+        if let Some(discovery) = self.discovery(pool) {
+            discovery.watch = Some(Watch {
+                number,
+                socket,
+                output: output.into_bytes(),
+                written: 0,
+                input: Vec::new(),
+                chunks: None,
+                line: Vec::new(),
+                deadline,
+            });
+        }
     }
 
-    fn end_watch(&mut self) {
-        if let Some(watch) = self.discovery.watch.take() {
+    /// Ends a pool's watch, if there is one.
+    pub fn end_watch(&mut self, pool: PoolId) {
+        if let Some(watch) = self.discovery(pool).and_then(|d| d.watch.take()) {
             self.net.unwatch(watch.socket);
         }
     }
 
-    fn watch_failed(&mut self, why: &str) {
+    fn watch_failed(&mut self, pool: PoolId, why: &str) {
         warn!(self.net.log, "the watch on discovery failed"; "why" => why);
-        self.end_watch();
-        self.exchanges.queue(Report::WatchFailed, Instant::now());
+        self.end_watch(pool);
+        if let Some(p) = self.pools.get_mut(pool) {
+            p.queue(Report::WatchFailed, Instant::now());
+        }
     }
 
     /// Silence: the connection may be dead without saying so.
-    pub fn expire_discovery(&mut self, now: Instant) {
-        if self.discovery.deadline().is_some_and(|at| at <= now) {
-            self.watch_failed("silence");
+    pub fn expire_discovery(&mut self, pool: PoolId, now: Instant) {
+        if self.discovery(pool).and_then(|d| d.deadline()).is_some_and(|at| at <= now) {
+            self.watch_failed(pool, "silence");
         }
     }
 
-    fn discovery_ready(&mut self, number: u64, writable: bool) {
-        let Some(watch) = self.discovery.watch.as_mut().filter(|w| w.number == number) else { return };
+    fn discovery_ready(&mut self, pool: PoolId, number: u64, writable: bool) {
+        let answer_by = Instant::now() + self.net.limits.discovery_answer;
+        let mine = |d: &&mut Discovery| d.watch.as_ref().is_some_and(|w| w.number == number);
+        let Some(watch) = self.discovery(pool).filter(&mine).and_then(|d| d.watch.as_mut()) else { return };
         if watch.written < watch.output.len() && writable {
-            watch.deadline = Instant::now() + self.net.limits.discovery_answer;
+            watch.deadline = answer_by;
             if let Err(e) = crate::write(&watch.socket.stream, &watch.output, &mut watch.written) {
-                return self.watch_failed(&e.to_string());
+                return self.watch_failed(pool, &e.to_string());
             }
         }
         if watch.written == 0 {
             if let Ok(Some(e)) = watch.socket.stream.take_error() {
-                self.watch_failed(&e.to_string());
+                self.watch_failed(pool, &e.to_string());
             }
             return;
         }
         loop {
-            let Some(watch) = self.discovery.watch.as_mut().filter(|w| w.number == number) else { return };
             let most = self.net.limits.read_bytes.max(self.net.limits.head_bytes);
-            let reading = self.net.read(&watch.socket.stream, &mut watch.input, most);
-            let more = watch.input.len() > most;
-            if let Err(why) = self.discovery_input() {
-                return self.watch_failed(&why);
+            // The input is taken out while it is read into: the pools and the scratch space are both of the proxy.
+            let Some(watch) = self.discovery(pool).filter(&mine).and_then(|d| d.watch.as_mut()) else {
+                return;
+            };
+            let (stream, mut input) = (watch.socket.stream.clone(), std::mem::take(&mut watch.input));
+            let reading = self.net.read(&stream, &mut input, most);
+            let more = input.len() > most;
+            if let Some(watch) = self.discovery(pool).and_then(|d| d.watch.as_mut()) {
+                watch.input = input;
+            }
+            if let Err(why) = self.discovery_input(pool) {
+                return self.watch_failed(pool, &why);
             }
             match reading {
                 Reading::Open if more => {}
                 Reading::Open => return,
-                Reading::Ended => return self.watch_failed("discovery ended it"),
-                Reading::Broken => return self.watch_failed("its connection broke"),
+                Reading::Ended => return self.watch_failed(pool, "discovery ended it"),
+                Reading::Broken => return self.watch_failed(pool, "its connection broke"),
             }
         }
     }
 
-    fn discovery_input(&mut self) -> Result<(), String> {
-        let Some(watch) = self.discovery.watch.as_mut() else { return Ok(()) };
-        let limits = &self.net.limits;
+    fn discovery_input(&mut self, pool: PoolId) -> Result<(), String> {
+        let (limits, log) = (self.net.limits.clone(), self.net.log.clone());
+        let Some(discovery) = self.discovery(pool) else { return Ok(()) };
+        let Some(watch) = discovery.watch.as_mut() else { return Ok(()) };
         if watch.chunks.is_none() {
-            let head = http::stream_head(&watch.input, limits);
+            let head = http::stream_head(&watch.input, &limits);
             let Some(n) = head.map_err(|bad| format!("answered {}", bad.0))? else { return Ok(()) };
             watch.input.drain(..n);
             watch.chunks = Some(Chunks::default());
         }
         let Some(chunks) = watch.chunks.as_mut() else { return Ok(()) };
-        let used = chunks.read(&watch.input, limits.line_bytes, limits, &mut watch.line);
+        let used = chunks.read(&watch.input, limits.line_bytes, &limits, &mut watch.line);
         let used = used.map_err(|_| "its chunks make no sense".to_string())?;
         watch.input.drain(..used);
         if used > 0 {
@@ -150,10 +184,14 @@
                 lists.push(list.map_err(|e| format!("a line makes no sense: {e}"))?);
             }
         }
+        if let Some(list) = lists.last() {
+            discovery.version = list.seq;
+        }
         for list in lists {
-            info!(self.net.log, "hosts"; "seq" => list.seq, "whole" => list.whole, "entries" => list.hosts.len());
-            self.discovery.version = list.seq;
-            self.exchanges.queue(Report::Hosts(list), Instant::now());
+            info!(log, "hosts"; "seq" => list.seq, "whole" => list.whole, "entries" => list.hosts.len());
+            if let Some(p) = self.pools.get_mut(pool) {
+                p.queue(Report::Hosts(list), Instant::now());
+            }
         }
         if done {
             return Err("discovery ended it".into());
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -1,26 +1,19 @@
 //! The life of a request: taken from a caller, decided on by the module, tried, and answered once.
 
-use crate::http::{Answer, Call, Request};
-use crate::upstreams::Ended;
+use crate::admission::{Admitted, Labels, RouteInForce, Unfit, RETURN_AFTER};
+use crate::callers::ListenerId;
+use crate::http::{Answer, Bad, Request};
+use crate::lease::Lease;
+use crate::pools::PoolId;
+use crate::upstreams::{Ended, Target};
 use crate::{ConnId, Proxy};
-use garnettally_decisions::facade::{Ask, Code, Decision, Effect, Listed, Micros, Report, RequestId};
-use garnettally_model::key;
+use garnettally_config::file::format::LogRequests;
+use garnettally_decisions::facade::{Ask, Code, Decision, Micros, Report, RequestId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{debug, info};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Why a call can't be taken.
-pub enum Unfit {
-    /// No class has its name.
-    Class,
-    /// It says to change nothing where its class changes something, or the other way round.
-    Method,
-    /// Its class wants a key, and it has none.
-    NoKey,
-    /// It has the id of a request that is still open.
-    IdInUse,
-}
-
 /// The one answer that every request gets.
 pub enum Final<'a> {
     /// An upstream's: served, or turned away for what it is.
@@ -31,111 +24,218 @@
     Failed,
 }
 
-/// One request that has been taken.
+/// One request that has been taken, in one pool. If it goes on to another pool, it gets a new number there.
 struct Exchange {
-    caller: ConnId,
+    /// Who waits for its answer; `None`: nobody, it is a copy.
+    caller: Option<ConnId>,
     id: String,
-    request: Box<Request>,
+    pool: PoolId,
+    /// What the module is asked.
+    ask: Ask,
+    request: Rc<Request>,
     /// Attempts so far, and those of them that are out.
     sends: u32,
     out: u32,
     /// It has had its answer, or its client is gone.
     over: bool,
+    /// An attempt has, or may have, run, or is out and may yet.
+    may_have_run: bool,
+    /// Where it may go if this pool refuses it and nothing can have run.
+    others: Vec<PoolId>,
+    pin: Option<(u64, Micros)>,
+    /// Its place in the limits.
+    lease: Lease,
+    listener: Option<ListenerId>,
+    route: Option<Rc<RouteInForce>>,
+    labels: Option<Labels>,
+    taken: Instant,
+    /// Attempts in the pools before.
+    sends_before: u32,
 }
 
 /// What the module is to hear of at its next turn.
-enum News {
+pub enum News {
     Asked(Ask),
     Known(Report),
 }
 
-/// The requests, and what the module has not heard of yet.
+/// The requests.
 #[derive(Default)]
 pub struct Exchanges {
     open: FxHashMap<RequestId, Exchange>,
     /// The ids of those that wait for their answer.
     ids: FxHashSet<String>,
     next: u64,
-    news: Vec<News>,
-    first_news: Option<Instant>,
-    ready: bool,
 }
 
 impl Exchanges {
-    /// Has the module hear of this at its next turn.
-    pub fn queue(&mut self, report: Report, now: Instant) {
-        self.add(News::Known(report), now);
-    }
-
-    /// Keeps the message of a request just taken, to be sent to upstreams.
-    pub fn keep(&mut self, number: RequestId, request: Box<Request>) {
-        if let Some(x) = self.open.get_mut(&number) {
-            x.request = request;
-        }
-    }
-
-    fn add(&mut self, news: News, now: Instant) {
-        self.news.push(news);
-        self.first_news.get_or_insert(now);
-    }
-
     /// Whether a request still waits for its answer.
     pub fn owes(&self) -> bool {
         !self.ids.is_empty()
     }
 
+    fn number(&mut self) -> RequestId {
+        self.next += 1;
+        RequestId(self.next)
+    }
+
     /// The caller who waits for this request's answer, which is due or needed no more; `None`: nobody does.
     fn conclude(&mut self, number: RequestId) -> Option<ConnId> {
         let x = self.open.get_mut(&number).filter(|x| !x.over)?;
         x.over = true;
-        self.ids.remove(&x.id);
-        Some(x.caller)
+        if x.caller.is_some() {
+            self.ids.remove(&x.id);
+        }
+        x.caller
     }
 }
 
 impl Proxy {
     /// Whether a request could be served.
     pub fn ready(&self) -> bool {
-        self.exchanges.ready && !self.shutdown.closing()
+        self.pools.iter().any(|p| p.ready && !p.leaving) && !self.shutdown.closing()
     }
 
-    /// Takes a call, or says why it can't be taken.
-    pub fn take_request(&mut self, caller: ConnId, call: &Call<'_>) -> Result<RequestId, Unfit> {
+    /// Takes a request, or says why it can't be taken.
+    pub fn take_request(
+        &mut self,
+        caller: ConnId,
+        listener: ListenerId,
+        mut request: Request,
+    ) -> Result<RequestId, Unfit> {
         let now = Instant::now();
-        let (class, effect) = self.decisions.class(call.class).ok_or(Unfit::Class)?;
-        match effect {
-            Effect::Safe if !call.read_only => return Err(Unfit::Method),
-            Effect::Keyed { .. } | Effect::Unsafe if call.read_only => return Err(Unfit::Method),
-            Effect::Keyed { .. } if !call.keyed => return Err(Unfit::NoKey),
-            _ => {}
+        match self.place(listener, &mut request, now) {
+            Ok((a, lease)) => Ok(self.enter(a, lease, caller, listener, request, now)),
+            Err(unfit) => {
+                self.log_unfit(listener, &request, &unfit);
+                Err(unfit)
+            }
+        }
+    }
+
+    /// Where a request goes, and its place in the limits.
+    fn place(
+        &mut self,
+        listener: ListenerId,
+        request: &mut Request,
+        now: Instant,
+    ) -> Result<(Admitted, Lease), Unfit> {
+        let a = self.admit(request, now)?;
+        if self.exchanges.ids.contains(&a.id) {
+            return Err(Unfit::Bad(Bad(400)));
         }
-        if !self.exchanges.ids.insert(call.id.to_string()) {
-            return Err(Unfit::IdInUse);
+        let holders = self.holders(a.pool, a.route.as_deref(), self.callers.request_holder(listener));
+        match self.budgets.requests.take(&holders) {
+            Ok(lease) => Ok((a, lease)),
+            Err(_) => Err(Unfit::Refused { retry_after: Some(RETURN_AFTER), route: a.route }),
         }
+    }
+
+    fn enter(
+        &mut self,
+        a: Admitted,
+        lease: Lease,
+        caller: ConnId,
+        listener: ListenerId,
+        request: Request,
+        now: Instant,
+    ) -> RequestId {
+        self.exchanges.ids.insert(a.id.clone());
+        let request = Rc::new(request);
+        if let Some(shadow) = a.mirror {
+            self.mirror(shadow, &a, &request, now);
+        }
+        self.begin(a, Some(caller), Some(listener), request, lease, now)
+    }
+
+    fn begin(
+        &mut self,
+        a: Admitted,
+        caller: Option<ConnId>,
+        listener: Option<ListenerId>,
+        request: Rc<Request>,
+        lease: Lease,
+        now: Instant,
+    ) -> RequestId {
         let micros = |d: Duration| Micros(d.as_micros() as i64);
-        let expires = self.net.clock.at(now) + micros(call.deadline);
-        self.exchanges.next += 1;
-        let number = RequestId(self.exchanges.next);
+        let expires = self.net.clock.at(now) + micros(a.deadline);
+        let number = self.exchanges.number();
         let ask = Ask {
             request: number,
-            class,
-            tenant: call.owner.and_then(|t| self.decisions.tenant(t)),
+            class: a.class,
+            tenant: a.tenant,
             expires: self.shutdown.answer_by().map_or(expires, |by| expires.min(self.net.clock.at(by))),
-            cost: call.cost.map(micros).filter(|c| c.0 > 0),
-            repeat: call.repeat,
-            key: call.subject.map(key),
+            cost: a.cost.map(micros).filter(|c| c.0 > 0),
+            repeat: a.repeat,
+            key: a.subject,
+        };
+        let exchange = Exchange {
+            caller,
+            id: a.id,
+            pool: a.pool,
+            ask,
+            request,
+            sends: 0,
+            out: 0,
+            over: false,
+            may_have_run: false,
+            others: a.others,
+            pin: a.pin,
+            lease,
+            listener,
+            route: a.route,
+            labels: a.labels,
+            taken: now,
+            sends_before: 0,
         };
-        let id = call.id.to_string();
-        let exchange = Exchange { caller, id, request: Box::default(), sends: 0, out: 0, over: false };
+        self.enter_pool(number, exchange, now);
+        number
+    }
+
+    /// Has a pool's module asked about a request.
+    fn enter_pool(&mut self, number: RequestId, mut exchange: Exchange, now: Instant) {
+        exchange.ask.request = number;
+        if let Some(pool) = self.pools.get_mut(exchange.pool) {
+            pool.open += 1;
+            pool.add(News::Asked(exchange.ask), now);
+        }
         self.exchanges.open.insert(number, exchange);
-        self.exchanges.add(News::Asked(ask), now);
-        Ok(number)
+    }
+
+    /// Sends a copy to a shadow pool, if there is room: it takes no part in the limits of what it copies.
+    fn mirror(&mut self, shadow: PoolId, a: &Admitted, request: &Rc<Request>, now: Instant) {
+        let Some(pool) = self.pools.get(shadow) else { return };
+        let Ok(lease) = self.budgets.copies.take(&[pool.copies]) else { return };
+        let copy = Admitted {
+            id: a.id.clone(),
+            class: a.class,
+            tenant: a.tenant,
+            deadline: a.deadline,
+            cost: a.cost,
+            repeat: a.repeat,
+            subject: a.subject,
+            pool: shadow,
+            others: Vec::new(),
+            route: None,
+            pin: None,
+            mirror: None,
+            labels: None,
+        };
+        self.begin(copy, None, None, request.clone(), lease, now);
     }
 
     /// The client has closed its connection.
     pub fn client_gone(&mut self, request: RequestId) {
         if self.exchanges.conclude(request).is_some() {
-            self.exchanges.queue(Report::Gone(request), Instant::now());
+            self.log_request(request, "gone", None, None);
+            self.queue_for(request, Report::Gone(request));
+        }
+    }
+
+    fn queue_for(&mut self, request: RequestId, report: Report) {
+        let pool = self.exchanges.open.get(&request).map(|x| x.pool);
+        if let Some(pool) = pool.and_then(|id| self.pools.get_mut(id)) {
+            pool.queue(report, Instant::now());
         }
     }
 
@@ -145,12 +245,21 @@
         let (request, attempt) = ended.attempt;
         let Some(x) = self.exchanges.open.get_mut(&request) else { return };
         x.out -= 1;
+        let never_ran = matches!(ended.code, Code::Full | Code::ConnectFailed | Code::Moot);
+        x.may_have_run |= !never_ran;
         let over = x.over;
+        if let Some((key, _)) = x.pin.filter(|_| never_ran) {
+            self.pins.never_ran(key);
+        }
+        if let Some(target) = ended.target {
+            self.note_health(target, ended.code, Instant::now());
+        }
+        let copy = self.exchanges.open.get(&request).is_some_and(|x| x.caller.is_none());
         let passed = match ended.code {
             Code::Ok | Code::Rejected => self.exchanges.conclude(request),
             _ => None,
         };
-        let answered = over || passed.is_some();
+        let answered = over || passed.is_some() || (copy && matches!(ended.code, Code::Ok | Code::Rejected));
         if ended.code != Code::Ok {
             debug!(self.net.log, "attempt"; "request" => request.0, "ended" => ?ended.code,
                 "ms" => ended.latency.as_millis() as u64);
@@ -158,17 +267,23 @@
         let held = ended.answer.as_ref().and_then(|a| a.held);
         let (code, latency) = (ended.code, ended.latency);
         let report = Report::Ended { request, attempt, code, latency, held, answered };
-        self.exchanges.queue(report, Instant::now());
+        self.queue_for(request, report);
         if let (Some(caller), Some(answer)) = (passed, ended.answer) {
+            let outcome = if code == Code::Ok { "served" } else { "rejected" };
+            self.log_request(request, outcome, Some(answer.status), ended.target);
             self.answer_caller(caller, Final::Passed(&answer));
         }
     }
 
-    /// When the module is to be asked next: once in its resolution, if there is anything to tell it.
+    /// When a module is to be asked next: once in the resolution, if there is anything to tell it.
     pub fn next_consultation(&self) -> Option<Instant> {
-        let due = self.decisions.next_tick().map(|at| self.net.clock.instant(self.round_up(at)));
-        let news =
-            self.exchanges.first_news.map(|at| self.net.clock.instant(self.round_up(self.net.clock.at(at))));
+        self.pools.iter().filter_map(|p| self.consultation(p.id)).min()
+    }
+
+    fn consultation(&self, pool: PoolId) -> Option<Instant> {
+        let pool = self.pools.get(pool)?;
+        let due = pool.decisions.next_tick().map(|at| self.net.clock.instant(self.round_up(at)));
+        let news = pool.first_news().map(|at| self.net.clock.instant(self.round_up(self.net.clock.at(at))));
         due.into_iter().chain(news).min()
     }
 
@@ -180,99 +295,189 @@
         Micros((at.0 + step - 1).div_euclid(step) * step)
     }
 
-    /// Tells the module what has come in, then lets time pass there, and does what it decides.
+    /// Tells each module what has come in, then lets time pass there, and does what it decides.
     pub fn consult(&mut self, at: Instant) {
-        if self.next_consultation().is_none_or(|due| due > at) {
-            return;
+        for pool in self.pools.ids() {
+            if self.consultation(pool).is_some_and(|due| due <= at) {
+                self.consult_pool(pool, at);
+            }
         }
+    }
+
+    fn consult_pool(&mut self, id: PoolId, at: Instant) {
         let now = self.net.clock.at(at);
-        self.exchanges.first_news = None;
-        for news in std::mem::take(&mut self.exchanges.news) {
+        let Some(pool) = self.pools.get_mut(id) else { return };
+        for news in pool.take_news() {
             let ended = match &news {
                 News::Known(Report::Ended { request, .. } | Report::Gone(request)) => Some(*request),
                 _ => None,
             };
             let decisions = match news {
-                News::Asked(ask) => self.decisions.pick(now, ask),
-                News::Known(report) => self.tell(now, report),
+                News::Asked(ask) => self.pools.get_mut(id).map_or(Vec::new(), |p| p.decisions.pick(now, ask)),
+                News::Known(report) => self.tell(id, now, report),
             };
-            self.carry_out(decisions);
+            self.carry_out(id, decisions);
             if let Some(request) = ended {
                 self.forget(request);
             }
         }
         // Time last, as in the simulator: what came in by now may have made room for what waits.
-        let tick = self.decisions.tick(now);
-        self.carry_out(tick);
-    }
-
-    fn tell(&mut self, now: Micros, report: Report) -> Vec<Decision> {
-        let mut found = Vec::new();
-        if let Report::Hosts(list) | Report::Known(list) = &report {
-            for (listing, dial) in &list.hosts {
-                found.push((listing.name.clone(), *dial, listing.state == Listed::Ready));
-            }
-        }
-        let decisions = self.decisions.report(now, report);
-        // The module has numbered them; nothing it decides is carried out before they have an address.
-        for (name, dial, ready) in found {
-            let Some(id) = self.decisions.upstream(&name) else { continue };
-            self.exchanges.ready |= ready;
-            if let Some(address) = dial {
-                self.upstreams.moved(&self.net, id, address);
-            }
-            if !ready {
-                self.upstreams.close_idle(&self.net, id);
-            }
-        }
-        decisions
+        let tick = self.pools.get_mut(id).map_or(Vec::new(), |p| p.decisions.tick(now));
+        self.carry_out(id, tick);
     }
 
     fn forget(&mut self, request: RequestId) {
         if self.exchanges.open.get(&request).is_some_and(|x| x.over && x.out == 0) {
-            self.exchanges.open.remove(&request);
+            if let Some(x) = self.exchanges.open.remove(&request) {
+                self.pool_let_go(x.pool);
+            }
         }
     }
 
-    fn carry_out(&mut self, decisions: Vec<Decision>) {
+    fn carry_out(&mut self, pool: PoolId, decisions: Vec<Decision>) {
         for decision in decisions {
             match decision {
                 Decision::Send { request, upstream, timeout } => {
-                    let Some(x) = self.exchanges.open.get_mut(&request) else { continue };
-                    let attempt = (request, x.sends);
-                    (x.sends, x.out) = (x.sends + 1, x.out + 1);
-                    if x.over {
-                        let ended =
-                            Ended { attempt, code: Code::Moot, latency: Duration::ZERO, answer: None };
-                        self.attempt_ended(ended);
-                        continue;
-                    }
-                    let asked = std::mem::take(&mut x.request);
-                    self.send_attempt(attempt, upstream, &asked, timeout);
-                    if let Some(x) = self.exchanges.open.get_mut(&request) {
-                        x.request = asked;
-                    }
+                    self.send(request, Target { pool, server: upstream }, timeout);
                 }
                 Decision::Wait(_) => {}
-                Decision::Refuse { request, retry_after } => {
-                    self.finish(request, Final::Refused { retry_after });
-                }
+                Decision::Refuse { request, retry_after } => self.refused(request, retry_after),
                 Decision::Fail(request) => self.finish(request, Final::Failed),
                 Decision::Cancel { request, attempt } => {
                     if let Some(ended) = self.upstreams.cancel(&self.net, (request, attempt)) {
                         self.attempt_ended(ended);
                     }
                 }
-                Decision::Watch => self.start_watch(),
+                Decision::Watch => self.start_watch(pool),
                 Decision::Note(text) => info!(self.net.log, "{}", text),
             }
         }
     }
 
+    fn send(&mut self, request: RequestId, to: Target, timeout: Duration) {
+        let Some(x) = self.exchanges.open.get_mut(&request) else { return };
+        let attempt = (request, x.sends);
+        (x.sends, x.out) = (x.sends + 1, x.out + 1);
+        let unsent = |code| Ended { attempt, target: None, code, latency: Duration::ZERO, answer: None };
+        if x.over {
+            return self.attempt_ended_unpinned(unsent(Code::Moot));
+        }
+        let (asked, pin) = (x.request.clone(), x.pin);
+        if let Some((key, window)) = pin {
+            let now = self.net.clock.at(Instant::now());
+            let several = x.route.as_ref().is_some_and(|r| r.route.pools.several());
+            if self.pins.sent(now, key, to.pool, now + window).is_err() {
+                // No place to remember it by: where the key could go elsewhere it must not be sent.
+                if several {
+                    return self.attempt_ended_unpinned(unsent(Code::ConnectFailed));
+                }
+                if let Some(x) = self.exchanges.open.get_mut(&request) {
+                    x.pin = None;
+                }
+            }
+        }
+        self.send_attempt(attempt, to, &asked, timeout);
+    }
+
+    /// An attempt that the pins know nothing of has ended unsent.
+    fn attempt_ended_unpinned(&mut self, ended: Ended) {
+        let request = ended.attempt.0;
+        let pin = self.exchanges.open.get_mut(&request).and_then(|x| x.pin.take());
+        self.attempt_ended(ended);
+        if let Some(x) = self.exchanges.open.get_mut(&request) {
+            x.pin = pin;
+        }
+    }
+
+    /// The module of one pool refuses a request. Where its route names other pools, its class's rules are kept, as
+    /// nothing can have run, and there is time, the next one is asked; each pool once.
+    fn refused(&mut self, request: RequestId, retry_after: Option<Duration>) {
+        let now = Instant::now();
+        let at = self.net.clock.at(now);
+        let Some(x) = self.exchanges.open.get_mut(&request).filter(|x| !x.over) else { return };
+        let free = x.out == 0 && !x.may_have_run && x.ask.expires > at;
+        while let Some(next) = (!x.others.is_empty() && free).then(|| x.others.remove(0)) {
+            let serves = self.pools.get(next).is_some_and(|p| p.serves());
+            let bound =
+                x.pin.and_then(|(key, _)| self.pins.get(at, key)).is_some_and(|(pool, _)| pool != next);
+            if !serves || bound {
+                continue;
+            }
+            let of_listener = x.listener.and_then(|l| self.callers.request_holder(l));
+            let of_pool = self.pools.get(next).map(|p| p.requests);
+            let holders = of_pool.into_iter().chain(x.route.as_ref().map(|r| r.holder)).chain(of_listener);
+            let Ok(lease) = self.budgets.requests.take(&holders.collect::<Vec<_>>()) else { continue };
+            let Some(mut x) = self.exchanges.open.remove(&request) else { return };
+            self.pool_let_go(x.pool);
+            x.lease = lease;
+            let (number, caller) = (self.exchanges.number(), x.caller);
+            x.pool = next;
+            (x.sends_before, x.sends) = (x.sends_before + x.sends, 0);
+            debug!(self.net.log, "the next pool is asked"; "request" => number.0, "pool" => self.pool_name(next));
+            if let Some(caller) = caller {
+                self.callers.waits_for(caller, number);
+            }
+            return self.enter_pool(number, x, now);
+        }
+        self.finish(request, Final::Refused { retry_after });
+    }
+
     /// The module's final answer, if the request has had none.
     fn finish(&mut self, request: RequestId, answer: Final<'_>) {
-        let Some(caller) = self.exchanges.conclude(request) else { return };
+        let Some(x) = self.exchanges.open.get(&request).filter(|x| !x.over) else { return };
+        let copy = x.caller.is_none();
+        let caller = self.exchanges.conclude(request);
+        if !copy {
+            let (outcome, status) = match &answer {
+                Final::Passed(a) => ("served", a.status),
+                Final::Refused { .. } => ("refused", 503),
+                Final::Failed => ("failed", 502),
+            };
+            self.log_request(request, outcome, Some(status), None);
+        }
         self.forget(request);
-        self.answer_caller(caller, answer);
+        if let Some(caller) = caller {
+            self.answer_caller(caller, answer);
+        }
+    }
+
+    fn wants_line(&self, outcome: &str) -> bool {
+        match self.log_requests {
+            LogRequests::None => false,
+            LogRequests::Failed => outcome != "served",
+            LogRequests::All => true,
+        }
+    }
+
+    /// Writes the line of a request that could not be taken.
+    fn log_unfit(&self, listener: ListenerId, request: &Request, unfit: &Unfit) {
+        let (outcome, status, route) = match unfit {
+            Unfit::Bad(bad) => ("rejected", bad.0, None),
+            Unfit::Refused { route, .. } => ("refused", 503, route.as_ref().map(|r| &r.route)),
+        };
+        if self.wants_line(outcome) {
+            let class = route.and_then(|r| self.version.as_ref().map(|v| v.class(r.class)));
+            info!(self.net.log, "request"; "id" => request.id.as_deref().unwrap_or(""),
+                "listener" => self.callers.listener_name(listener),
+                "route" => route.map_or("", |r| &r.name), "class" => class.unwrap_or(""), "tenant" => "",
+                "pool" => "", "upstream" => "", "outcome" => outcome, "status" => status,
+                "attempts" => 0, "ms" => 0.0);
+        }
+    }
+
+    /// Writes a request's line, if it is to get one.
+    fn log_request(&self, request: RequestId, outcome: &str, status: Option<u16>, upstream: Option<Target>) {
+        let Some(x) = self.exchanges.open.get(&request).filter(|_| self.wants_line(outcome)) else { return };
+        let labels = x.labels.as_ref();
+        info!(self.net.log, "request"; "id" => &x.id,
+            "listener" => x.listener.map_or("", |l| self.callers.listener_name(l)),
+            "route" => x.route.as_ref().map_or("", |r| &r.route.name),
+            "class" => labels.map_or("", |l| &l.class),
+            "tenant" => labels.and_then(|l| l.tenant.as_deref()).unwrap_or(""),
+            "pool" => self.pool_name(x.pool),
+            "upstream" => upstream.map_or("", |t| self.upstream_name(t)),
+            "outcome" => outcome, "status" => status.unwrap_or(0),
+            "attempts" => x.sends + x.sends_before,
+            "ms" => x.taken.elapsed().as_secs_f64() * 1e3);
     }
 }
--- a/crates/serve/src/http.rs
+++ b/crates/serve/src/http.rs
@@ -1,6 +1,7 @@
 //! The HTTP/1.1 codec: bytes to requests and answers, and back. It owns no socket and decides nothing.
 
 use crate::Limits;
+use garnettally_routing::pattern::Headers;
 use httparse::{Header, Status};
 use std::fmt::Write as _;
 use std::time::Duration;
@@ -24,6 +25,7 @@
 #[derive(Debug, Default)]
 pub struct Request {
     pub method: String,
+    pub host: String,
     pub target: String,
     /// The header lines to pass on, each with its end.
     pub headers: Vec<u8>,
@@ -42,6 +44,32 @@
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or("")
     }
+
+    /// What follows the target's question mark.
+    pub fn query(&self) -> &str {
+        self.target.split_once('?').map_or("", |(_, query)| query)
+    }
+
+    /// Adds a header line to those that are passed on.
+    pub fn add_header(&mut self, name: &str, value: &str) {
+        for part in [name, ": ", value, "\r\n"] {
+            self.headers.extend_from_slice(part.as_bytes());
+        }
+    }
+}
+
+/// The headers that are passed on, and the deadline. Those of the connection alone are no business of a route.
+impl Headers for Request {
+    fn header(&self, name: &str) -> Option<&str> {
+        if name.eq_ignore_ascii_case("req-deadline") {
+            return self.deadline.as_deref();
+        }
+        let lines = self.headers.split(|&b| b == b'\n');
+        lines
+            .filter_map(|line| std::str::from_utf8(line).ok()?.trim_end().split_once(':'))
+            .find(|(n, _)| n.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.trim())
+    }
 }
 
 /// What a request asks for, in plain values; nothing here is of HTTP.
@@ -62,14 +90,20 @@
     pub keyed: bool,
 }
 
+/// What a request tells of itself besides: the work that it expects to be, and whether its client has tried before.
+pub fn hints(r: &Request) -> Result<(Option<Duration>, bool), Bad> {
+    let cost = r.cost.as_deref().map(|c| number(c, 1e12)).transpose()?;
+    Ok((cost.map(|us| Duration::from_micros(us as u64)), r.repeat))
+}
+
+fn number(text: &str, most: f64) -> Result<f64, Bad> {
+    text.parse::<f64>().ok().filter(|v| (0.0..most).contains(v)).ok_or(Bad(400))
+}
+
 /// The call that a request makes.
 pub fn call(r: &Request) -> Result<Call<'_>, Bad> {
     let (path, query) = r.target.split_once('?').unwrap_or((&r.target, ""));
-    let number = |text: &str, most: f64| {
-        let value = text.parse::<f64>().ok().filter(|v| (0.0..most).contains(v));
-        value.ok_or(Bad(400))
-    };
-    let cost = r.cost.as_deref().map(|c| number(c, 1e12)).transpose()?;
+    let (cost, repeat) = hints(r)?;
     let id = r.id.as_deref().filter(|id| !id.is_empty()).ok_or(Bad(400))?;
     let read_only = match &*r.method {
         "GET" => true,
@@ -82,8 +116,8 @@
         subject: query.split('&').find_map(|pair| pair.strip_prefix("key=")),
         owner: r.owner.as_deref(),
         deadline: Duration::from_secs_f64(number(r.deadline.as_deref().ok_or(Bad(400))?, 1e6)?),
-        cost: cost.map(|us| Duration::from_micros(us as u64)),
-        repeat: r.repeat,
+        cost,
+        repeat,
         read_only,
         keyed: r.keyed,
     })
@@ -105,6 +139,8 @@
     pub headers: Vec<u8>,
     pub body: Vec<u8>,
     pub keep_alive: bool,
+    /// The length that it has without having a body: it answers a HEAD.
+    pub bare_length: Option<usize>,
     /// It says that the request never ran.
     pub declined: bool,
     pub held: Option<f64>,
@@ -151,6 +187,7 @@
     };
     let request = Request {
         method: method.to_string(),
+        host: text("Host")?.unwrap_or_default(),
         target: target.to_string(),
         headers: pass_on(head.headers, &fields),
         body,
@@ -165,8 +202,8 @@
     Ok(Incoming::Whole(Box::new(request), head_len + used))
 }
 
-/// Reads an answer that must be the only thing in `buf`; `ended`: no more will come.
-pub fn answer(buf: &[u8], ended: bool, limits: &Limits) -> Result<Option<Answer>, Bad> {
+/// Reads an answer that must be the only thing in `buf`; `ended`: no more will come; `bare`: it answers a HEAD.
+pub fn answer(buf: &[u8], ended: bool, bare: bool, limits: &Limits) -> Result<Option<Answer>, Bad> {
     let mut space = vec![httparse::EMPTY_HEADER; limits.headers];
     let mut at = 0;
     loop {
@@ -183,7 +220,7 @@
         }
         let fields = Fields::read(head.headers, version).map_err(|_| Bad(502))?;
         let framing = match (fields.chunked, fields.length) {
-            _ if matches!(status, 204 | 304) => Framing::Length(0),
+            _ if bare || matches!(status, 204 | 304) => Framing::Length(0),
             (true, _) => Framing::Chunked,
             (false, Some(n)) => Framing::Length(n),
             (false, None) => Framing::Close,
@@ -202,6 +239,7 @@
             headers: pass_on(head.headers, &fields),
             body,
             keep_alive: fields.keep_alive && clean,
+            bare_length: fields.length.filter(|_| bare),
             declined: value("Srv-Declined").is_some_and(|h| h.value.trim_ascii() == b"1"),
             held,
         }));
@@ -425,22 +463,55 @@
     out.extend_from_slice(&r.body);
 }
 
+/// An answer to a caller.
+#[derive(Clone, Copy, Default)]
+pub struct Outgoing<'a> {
+    pub status: u16,
+    /// Header lines, each with its end.
+    pub headers: &'a [u8],
+    pub body: &'a [u8],
+    /// The length that is told although there is no body.
+    pub bare_length: Option<usize>,
+}
+
 /// Writes an answer to a caller.
-pub fn write_answer(out: &mut Vec<u8>, status: u16, headers: &[u8], body: &[u8], close: bool) {
+pub fn write_answer(out: &mut Vec<u8>, answer: &Outgoing<'_>, close: bool) {
+    let &Outgoing { status, headers, body, bare_length } = answer;
     let reason = match status {
         200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        301 => "Moved Permanently",
+        302 => "Found",
+        303 => "See Other",
+        304 => "Not Modified",
+        307 => "Temporary Redirect",
+        308 => "Permanent Redirect",
         400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
+        410 => "Gone",
+        412 => "Precondition Failed",
         413 => "Content Too Large",
+        415 => "Unsupported Media Type",
+        422 => "Unprocessable Content",
         431 => "Request Header Fields Too Large",
         502 => "Bad Gateway",
         503 => "Service Unavailable",
         _ => "Unknown",
     };
     let mut head = String::with_capacity(96);
-    let _ = write!(head, "HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n", body.len());
+    let _ = write!(head, "HTTP/1.1 {status} {reason}\r\n");
+    // Where there can be no body, its length is that of another answer, or must not be told.
+    let length = if matches!(status, 204 | 304) { None } else { Some(bare_length.unwrap_or(body.len())) };
+    if let Some(length) = length {
+        let _ = write!(head, "Content-Length: {length}\r\n");
+    }
     if close {
         head.push_str("Connection: close\r\n");
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -1,23 +1,36 @@
 //! The real balancer round the module: sockets in, decisions asked, sockets out.
 //!
-//! `http` is the codec, `callers` and `upstreams` hold the connections, `discovery` the watch,
-//! `exchange` the life of a request between them, `reload` a new configuration, and `shutdown` the end.
-//! `Proxy` is the state that the event loop hands to each of them.
+//! A request goes once from left to right: `callers` (listeners and their connections) read it with the codec `http`,
+//! `admission` finds its route, class and pool, `exchange` keeps its life, `pools` ask their modules, and `upstreams`
+//! carry its attempts. `source` and `discovery` say where the nodes are, `lease` what connections and requests hold
+//! of the limits, `plan` what is to be served at all, `reload` what has changed of it, and `shutdown` how it ends.
+//! [`Proxy`] is the state that the event loop hands to each of them.
+#![forbid(unsafe_code)]
 
+mod admission;
 mod callers;
 mod discovery;
 mod exchange;
 mod http;
+mod lease;
+pub mod plan;
+mod pools;
 mod reload;
 mod shutdown;
+mod source;
 mod upstreams;
 
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
-use garnettally_config::platform::Config;
+use garnettally_config::file::format::LogRequests;
 pub use garnettally_config::Limits;
-use garnettally_decisions::facade::{Decisions, Micros, Report};
+use garnettally_decisions::facade::Micros;
+use garnettally_routing::budget::HolderId;
+use garnettally_routing::pins::Pins;
+use lease::{Lease, Shared};
+use plan::{Guide, Plan};
+use pools::PoolId;
 use slog::{info, Logger};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
@@ -54,14 +67,22 @@
 
 /// The whole balancer.
 pub struct Proxy {
-    pub net: Net,
-    pub decisions: Decisions,
-    pub callers: callers::Callers,
-    pub upstreams: upstreams::Upstreams,
-    pub discovery: discovery::Discovery,
-    pub exchanges: exchange::Exchanges,
-    pub reload: reload::Reload,
-    pub shutdown: shutdown::Shutdown,
+    net: Net,
+    budgets: pools::Budgets,
+    callers: callers::Callers,
+    pools: pools::Pools,
+    upstreams: upstreams::Upstreams,
+    exchanges: exchange::Exchanges,
+    /// The version of the operator's file in force; `None`: the platform's protocol is served.
+    version: Option<Rc<admission::Version>>,
+    pins: Pins<PoolId>,
+    /// Hashes keys of requests; nobody outside can choose keys that meet.
+    key_seed: u64,
+    /// For random numbers of new pools.
+    seed: u64,
+    log_requests: LogRequests,
+    reload: reload::Reloads,
+    shutdown: shutdown::Shutdown,
     next_sweep: Instant,
 }
 
@@ -71,6 +92,7 @@
     pub log: Logger,
     pub limits: Limits,
     pub clock: Clock,
+    pub rng: fastrand::Rng,
     scratch: Vec<u8>,
     next: ConnId,
 }
@@ -159,35 +181,60 @@
 }
 
 /// Serves until nothing is owed after SIGTERM.
-pub fn serve(config: Config, limits: Limits, log: Logger, signals: Signals) -> Result<(), String> {
+pub fn serve(plan: Plan, log: Logger, signals: Signals) -> Result<(), String> {
     let mut events: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(|e| e.to_string())?;
     let clock = Clock::new();
-    let net =
-        Net { handle: events.handle(), log, scratch: vec![0; limits.read_bytes], limits, clock, next: 0 };
+    let limits = plan.limits;
+    let rng = fastrand::Rng::with_seed(plan.seed);
+    let scratch = vec![0; limits.read_bytes];
+    let net = Net { handle: events.handle(), log, rng, scratch, limits, clock, next: 0 };
     let now = Instant::now();
-    let listening = callers::Callers::listen(&net, config.listen)
-        .map_err(|e| format!("GW_LISTEN: {}: {e}", config.listen))?;
-    info!(net.log, "listening"; "name" => &config.name, "address" => %config.listen,
-        "discovery" => %config.discovery, "known" => config.known.hosts.len());
+    let budgets = pools::Budgets {
+        requests: Shared::new(plan.requests),
+        connections: Shared::new(net.limits.connections),
+        callers: Shared::new(net.limits.callers + 1),
+        copies: Shared::new(usize::MAX),
+    };
+    let mut listening = callers::Callers::default();
+    for listener in plan.listeners {
+        let (name, address) = (listener.name.clone(), listener.address);
+        let bound = callers::bind(&net, address);
+        let added = bound.and_then(|bound| {
+            // With port 0 the system chooses one, which only this line tells.
+            let address = bound.local_addr()?;
+            info!(net.log, "listening"; "name" => &plan.name, "listener" => name, "address" => %address);
+            listening.add(&net, &budgets, listener, bound)
+        });
+        added.map_err(|e| format!("can't listen on {address}: {e}"))?;
+    }
+    let key_seed = plan.seed.rotate_left(32) ^ 0x6b65_7973;
     let mut proxy = Proxy {
-        decisions: Decisions::new(config.site, config.seed, clock.at(now)),
+        budgets,
         callers: listening,
+        pools: pools::Pools::default(),
         upstreams: upstreams::Upstreams::default(),
-        discovery: discovery::Discovery::new(config.discovery, config.known.seq),
-        reload: reload::Reload::new(config.discovery_in_file),
         exchanges: exchange::Exchanges::default(),
+        version: None,
+        pins: Pins::new(plan.pins),
+        key_seed,
+        seed: plan.seed,
+        log_requests: plan.log_requests,
+        reload: reload::Reloads::new(plan.reload),
         shutdown: shutdown::Shutdown::default(),
         next_sweep: now,
         net,
     };
+    let pools = plan.pools.into_iter().map(|pool| proxy.add_pool(pool, plan.seed, now)).collect();
+    if let Guide::Routes(operator) = plan.guide {
+        proxy.put_in_force(*operator, pools);
+    }
     events
         .handle()
         .insert_source(signals, |event, _, proxy| match event.signal() {
-            Signal::SIGHUP => proxy.reload(),
+            Signal::SIGHUP => proxy.reload(Instant::now()),
             _ => proxy.begin_shutdown(),
         })
         .map_err(|e| e.to_string())?;
-    proxy.exchanges.queue(Report::Known(config.known), now);
     while !proxy.finished() {
         let wait = proxy.next_wake().map(|at| at.saturating_duration_since(Instant::now()));
         events.dispatch(wait, &mut proxy).map_err(|e| format!("event loop: {e}"))?;
@@ -201,11 +248,16 @@
     /// What time brings about, after each round of the event loop.
     fn turn(&mut self, now: Instant) {
         self.expire_attempts(now);
-        self.expire_discovery(now);
+        self.tend_sources(now);
+        self.continue_reload(now);
         if now >= self.next_sweep {
             self.next_sweep = now + self.net.limits.sweep;
             self.sweep_callers(now);
             self.upstreams.sweep(&self.net, now);
+            self.review_pools(now);
+            self.end_left_listeners();
+            self.end_left_pools();
+            self.pins.expire(self.net.clock.at(now));
         }
         self.resume_accepting(now);
         self.resume_discarding();
@@ -220,7 +272,8 @@
         let wakes = [
             Some(self.next_sweep),
             self.upstreams.next_deadline(),
-            self.discovery.deadline(),
+            self.pools.iter().filter_map(|p| p.source.next_wake()).min(),
+            self.reload.next_wake(),
             self.callers.resume_at(),
             self.shutdown.next_wake(),
             self.next_consultation(),
@@ -228,11 +281,24 @@
         wakes.into_iter().flatten().min()
     }
 
-    /// Makes room for one more connection, if idle ones take it; upstream connections go first.
-    fn make_room(&mut self) -> bool {
-        if self.callers.count() + self.upstreams.count() < self.net.limits.connections {
-            return true;
+    /// Makes room for one more connection of this holder, if idle ones take it; upstream connections go first.
+    fn has_room(&mut self, holder: HolderId) -> bool {
+        while let Err(why) = self.budgets.connections.check(&[holder]) {
+            let helps = |lease: &Lease| lease.helps(holder, why);
+            if !self.upstreams.close_oldest_idle(&self.net, helps)
+                && !self.close_idle_caller_helping(holder, why)
+            {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn make_room(&mut self, holder: HolderId) -> Option<Lease> {
+        if self.has_room(holder) {
+            self.budgets.connections.take(&[holder]).ok()
+        } else {
+            None
         }
-        self.upstreams.close_oldest_idle(&self.net) || self.close_idle_caller()
     }
 }
--- /dev/null
+++ b/crates/serve/src/plan.rs
@@ -0,0 +1,163 @@
+//! What one process is to serve, whoever says so: the platform's configuration or an operator's file.
+
+use crate::upstreams::Terms;
+use crate::Limits;
+use garnettally_config::file::format::LogRequests;
+use garnettally_config::file::{Basis, Listener, Nodes, Operator, Pool};
+use garnettally_config::platform::Config;
+use garnettally_model::{HostList, Site};
+use garnettally_routing::budget::{HolderId, Share};
+use garnettally_routing::failover::Rules;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What one process is to serve.
+pub struct Plan {
+    /// Its name.
+    pub name: String,
+    /// For random numbers.
+    pub seed: u64,
+    /// Sizes, counts and times.
+    pub limits: Limits,
+    /// Where clients connect.
+    pub listeners: Vec<Listener>,
+    /// The pools.
+    pub pools: Vec<PoolPlan>,
+    /// How a request finds its class and pool.
+    pub guide: Guide,
+    /// Requests in flight.
+    pub requests: usize,
+    /// Keys whose windows are open.
+    pub pins: usize,
+    /// Which requests get a log line.
+    pub log_requests: LogRequests,
+    /// What SIGHUP reads again.
+    pub reload: Reload,
+}
+
+/// How a request finds its class and pool.
+pub enum Guide {
+    /// As the platform's protocol says: the first part of the path is the class, and there is one pool.
+    Platform,
+    /// By the routes of the operator's file.
+    Routes(Box<Operator>),
+}
+
+/// What SIGHUP reads again.
+pub enum Reload {
+    /// The platform's configuration, whose `discovery` was this.
+    Platform(Option<SocketAddr>),
+    /// The operator's file at this path.
+    File(String),
+}
+
+/// One pool.
+pub struct PoolPlan {
+    /// Its name.
+    pub name: String,
+    /// What its instance of the module is given.
+    pub site: Site,
+    /// What makes that instance what it is.
+    pub basis: Option<Basis>,
+    /// Where its nodes are told.
+    pub nodes: Nodes,
+    /// The list as it was last held.
+    pub known: Option<HostList>,
+    /// How long opening a connection may take.
+    pub connect: Duration,
+    /// How long one between requests is kept.
+    pub keep: Duration,
+    /// Its share of the requests in flight.
+    pub requests: Share,
+    /// Its share of the connections.
+    pub connections: Share,
+    /// Its share of the memory for unfinished answers, in bytes.
+    pub memory: Share,
+    /// When it is left in a failover list.
+    pub failover: Rules,
+    /// Any 2xx or 3xx answer serves a request.
+    pub any_success: bool,
+}
+
+impl Plan {
+    /// The platform's: one listener, one pool.
+    pub fn platform(config: Config) -> Plan {
+        let limits = Limits::new(&config);
+        let listener = Listener {
+            name: "clients".into(),
+            address: config.listen,
+            connections: Share::default(),
+            requests: Share::default(),
+            memory: Share::default(),
+        };
+        let pool = PoolPlan {
+            name: "upstreams".into(),
+            site: config.site,
+            basis: None,
+            nodes: Nodes::Watch(config.discovery),
+            known: Some(config.known),
+            connect: limits.upstream_connect,
+            keep: limits.upstream_idle,
+            requests: Share::default(),
+            connections: Share::default(),
+            memory: Share::default(),
+            failover: Rules::default(),
+            any_success: false,
+        };
+        Plan {
+            name: config.name,
+            seed: config.seed,
+            limits,
+            listeners: vec![listener],
+            pools: vec![pool],
+            guide: Guide::Platform,
+            requests: usize::MAX,
+            pins: 0,
+            log_requests: LogRequests::None,
+            reload: Reload::Platform(config.discovery_in_file),
+        }
+    }
+
+    /// An operator's, read from this path. A seed that the file does not give is `seed`.
+    pub fn operator(path: String, mut operator: Operator, seed: u64) -> Plan {
+        Plan {
+            name: operator.name.clone(),
+            seed: operator.seed.unwrap_or(seed),
+            limits: Limits::of_operator(&operator),
+            listeners: std::mem::take(&mut operator.listeners),
+            pools: std::mem::take(&mut operator.pools).into_iter().map(PoolPlan::from).collect(),
+            requests: operator.requests,
+            pins: operator.pins,
+            log_requests: operator.logging.requests,
+            guide: Guide::Routes(Box::new(operator)),
+            reload: Reload::File(path),
+        }
+    }
+}
+
+impl From<Pool> for PoolPlan {
+    fn from(p: Pool) -> PoolPlan {
+        PoolPlan {
+            name: p.name,
+            site: p.site,
+            basis: Some(p.basis),
+            nodes: p.nodes,
+            known: None,
+            connect: p.connect_timeout,
+            keep: p.keep_idle,
+            requests: p.requests,
+            connections: p.connections,
+            memory: p.memory,
+            failover: p.failover,
+            any_success: true,
+        }
+    }
+}
+
+impl PoolPlan {
+    /// What its connections go by.
+    pub(crate) fn terms(&self, holder: HolderId) -> Terms {
+        let (connect, keep, memory, any_success) = (self.connect, self.keep, self.memory, self.any_success);
+        Terms { connect, keep, holder, memory, any_success }
+    }
+}
--- /dev/null
+++ b/crates/serve/src/pools.rs
@@ -0,0 +1,300 @@
+//! The pools: each with its own instance of the decision module, its own source of nodes and its own terms.
+
+use crate::discovery::Discovery;
+use crate::exchange::News;
+use crate::plan::PoolPlan;
+use crate::source::{whole, Source};
+use crate::upstreams::Target;
+use crate::{Proxy, Shared};
+use garnettally_config::file::{Basis, Nodes};
+use garnettally_decisions::facade::{Code, Decision, Decisions, Listed, Micros, Report, ServerId};
+use garnettally_routing::budget::HolderId;
+use garnettally_routing::failover::{Change, Fitness};
+use garnettally_routing::health;
+use slog::info;
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+/// The number of a pool; never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PoolId(pub u64);
+
+/// One pool.
+pub struct Pool {
+    pub id: PoolId,
+    pub name: String,
+    pub decisions: Decisions,
+    pub source: Source,
+    /// What makes its instance of the module what it is.
+    pub basis: Option<Basis>,
+    /// Where its nodes are told, as it is written.
+    pub nodes: Option<Nodes>,
+    pub requests: HolderId,
+    pub copies: HolderId,
+    pub connections: HolderId,
+    pub health: health::Nodes,
+    pub fitness: Fitness,
+    /// Requests and attempts that it still has.
+    pub open: usize,
+    /// It gets no new request, and goes when it has none left.
+    pub leaving: bool,
+    /// A node of it was ready once.
+    pub ready: bool,
+    /// Its source has told its nodes; before, requests wait for them.
+    pub told: bool,
+    news: Vec<News>,
+    first_news: Option<Instant>,
+}
+
+impl Pool {
+    /// Whether a request could go to one of its nodes, or may wait to hear of them.
+    pub fn serves(&self) -> bool {
+        !self.leaving && (!self.told || self.health.ready() > 0)
+    }
+
+    /// Has the module hear of this at its next turn.
+    pub fn queue(&mut self, report: Report, now: Instant) {
+        self.add(News::Known(report), now);
+    }
+
+    pub fn add(&mut self, news: News, now: Instant) {
+        self.news.push(news);
+        self.first_news.get_or_insert(now);
+    }
+
+    pub fn take_news(&mut self) -> Vec<News> {
+        self.first_news = None;
+        std::mem::take(&mut self.news)
+    }
+
+    pub fn first_news(&self) -> Option<Instant> {
+        self.first_news
+    }
+}
+
+/// All pools.
+#[derive(Default)]
+pub struct Pools {
+    all: BTreeMap<PoolId, Pool>,
+    next: u64,
+}
+
+impl Pools {
+    pub fn get(&self, id: PoolId) -> Option<&Pool> {
+        self.all.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: PoolId) -> Option<&mut Pool> {
+        self.all.get_mut(&id)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Pool> {
+        self.all.values()
+    }
+
+    pub fn ids(&self) -> Vec<PoolId> {
+        self.all.keys().copied().collect()
+    }
+
+    /// The pool of this name that takes requests.
+    pub fn named(&self, name: &str) -> Option<PoolId> {
+        self.all.values().find(|p| p.name == name && !p.leaving).map(|p| p.id)
+    }
+}
+
+impl Proxy {
+    /// Starts a pool.
+    pub fn add_pool(&mut self, plan: PoolPlan, seed: u64, now: Instant) -> PoolId {
+        self.pools.next += 1;
+        let id = PoolId(self.pools.next);
+        let at = self.net.clock.at(now);
+        let (mut source, told) = Source::new(&plan.nodes, now);
+        if let (Source::Watch(discovery), Some(known)) = (&mut source, &plan.known) {
+            *discovery = Discovery::new(discovery.address(), known.seq);
+        }
+        let requests = self.budgets.requests.join(plan.requests);
+        let connections = self.budgets.connections.join(plan.connections);
+        let terms = plan.terms(connections);
+        self.upstreams.set_terms(id, terms);
+        // Pools draw from numbers of their own: what one draws must not depend on what another does.
+        let seed = if plan.basis.is_none() {
+            seed
+        } else {
+            seed ^ garnettally_routing::stable_hash(0, plan.name.as_bytes())
+        };
+        let mut pool = Pool {
+            id,
+            name: plan.name,
+            decisions: Decisions::new(plan.site, seed, at),
+            source,
+            basis: plan.basis,
+            nodes: Some(plan.nodes),
+            requests,
+            copies: self.budgets.copies.join(plan.requests),
+            connections,
+            health: health::Nodes::default(),
+            fitness: Fitness::new(plan.failover, at),
+            open: 0,
+            leaving: false,
+            ready: false,
+            told: false,
+            news: Vec::new(),
+            first_news: None,
+        };
+        if let Some(known) = plan.known {
+            pool.queue(Report::Known(known), now);
+        }
+        if let Some(list) = told {
+            pool.queue(Report::Hosts(list), now);
+        }
+        self.pools.all.insert(id, pool);
+        id
+    }
+
+    /// Takes over what a new version says of a pool that stays. Its instance of the module goes on.
+    pub fn change_pool(&mut self, id: PoolId, plan: PoolPlan, now: Instant) {
+        let at = self.net.clock.at(now);
+        let Some(pool) = self.pools.get_mut(id) else { return };
+        self.budgets.requests.change(pool.requests, plan.requests);
+        self.budgets.copies.change(pool.copies, plan.requests);
+        self.budgets.connections.change(pool.connections, plan.connections);
+        pool.fitness.change(plan.failover.clone(), at);
+        self.upstreams.set_terms(id, plan.terms(pool.connections));
+        if pool.nodes.as_ref() == Some(&plan.nodes) {
+            return;
+        }
+        match &plan.nodes {
+            // The address alone moves; a watch on the old one ends.
+            Nodes::Watch(address) if matches!(pool.source, Source::Watch(_)) => {
+                let address = *address;
+                pool.nodes = Some(plan.nodes);
+                self.follow_discovery(id, address);
+            }
+            nodes => {
+                let (source, told) = Source::new(nodes, now);
+                if let Some(Nodes::Static(hosts)) = Some(nodes) {
+                    pool.queue(Report::Hosts(whole(hosts.clone())), now);
+                } else if let Some(list) = told {
+                    pool.queue(Report::Hosts(list), now);
+                }
+                pool.source = source;
+                pool.nodes = Some(plan.nodes);
+            }
+        }
+    }
+
+    /// A pool that the newest version does not name: what it has taken ends there, and nothing new comes.
+    pub fn leave_pool(&mut self, id: PoolId) {
+        if let Some(pool) = self.pools.get_mut(id) {
+            pool.leaving = true;
+            self.budgets.requests.leave(pool.requests);
+            self.budgets.copies.leave(pool.copies);
+        }
+    }
+
+    /// Ends the pools that have been left and have nothing any more.
+    pub fn end_left_pools(&mut self) {
+        let done = |p: &&Pool| p.leaving && p.open == 0 && p.news.is_empty();
+        let ids: Vec<PoolId> = self.pools.iter().filter(done).map(|p| p.id).collect();
+        for id in ids {
+            self.end_watch(id);
+            self.upstreams.remove_pool(&self.net, id);
+            if let Some(pool) = self.pools.all.remove(&id) {
+                self.budgets.connections.leave(pool.connections);
+                info!(self.net.log, "the pool has ended"; "pool" => pool.name);
+            }
+        }
+    }
+
+    /// One of a pool's requests or attempts is over.
+    pub fn pool_let_go(&mut self, id: PoolId) {
+        if let Some(pool) = self.pools.get_mut(id) {
+            pool.open = pool.open.saturating_sub(1);
+        }
+    }
+
+    pub fn pool_name(&self, id: PoolId) -> &str {
+        self.pools.get(id).map_or("", |p| p.name.as_str())
+    }
+
+    pub fn upstream_name(&self, target: Target) -> &str {
+        self.pools.get(target.pool).map_or("", |p| p.decisions.upstream_name(target.server))
+    }
+
+    /// Tells a pool's module of news; lists also tell where its nodes are reached, and how many are well.
+    pub fn tell(&mut self, id: PoolId, now: Micros, report: Report) -> Vec<Decision> {
+        let Some(pool) = self.pools.get_mut(id) else { return Vec::new() };
+        let mut found = Vec::new();
+        let mut all = false;
+        if let Report::Hosts(list) | Report::Known(list) = &report {
+            all = list.whole && matches!(report, Report::Hosts(_));
+            for (listing, dial) in &list.hosts {
+                found.push((listing.name.clone(), *dial, listing.state));
+            }
+        }
+        let listed = !found.is_empty() || all;
+        pool.told |= all;
+        let decisions = pool.decisions.report(now, report);
+        if !listed {
+            return decisions;
+        }
+        // The module has numbered them; nothing it decides is carried out before they have an address.
+        let number = |name: &str| pool.decisions.upstream(name);
+        let found: Vec<(ServerId, _, Listed)> =
+            found.into_iter().filter_map(|(name, dial, state)| Some((number(&name)?, dial, state))).collect();
+        if all {
+            let named: rustc_hash::FxHashSet<ServerId> = found.iter().map(|f| f.0).collect();
+            for gone in pool.health.keep_listed(|id| named.contains(&id)) {
+                self.upstreams.close_idle(&self.net, Target { pool: id, server: gone });
+            }
+        }
+        for (server, dial, state) in found {
+            let target = Target { pool: id, server };
+            pool.ready |= state == Listed::Ready;
+            pool.health.list(server, state);
+            if let Some(address) = dial {
+                self.upstreams.moved(&self.net, target, address);
+            }
+            if state != Listed::Ready {
+                self.upstreams.close_idle(&self.net, target);
+            }
+        }
+        decisions
+    }
+
+    /// Notes how an attempt ended, for failover.
+    pub fn note_health(&mut self, target: Target, code: Code, now: Instant) {
+        let at = self.net.clock.at(now);
+        if let Some(pool) = self.pools.get_mut(target.pool) {
+            pool.health.ended(at, target.server, code);
+        }
+    }
+
+    /// Looks at the health of every pool, which failover goes by.
+    pub fn review_pools(&mut self, now: Instant) {
+        let at = self.net.clock.at(now);
+        for pool in self.pools.all.values_mut() {
+            let share = pool.health.healthy_share(at);
+            if let Some(change) = pool.fitness.update(at, share) {
+                let what = match change {
+                    Change::Left => "the pool is left: too few of its nodes are well",
+                    Change::Returning => "the pool is returned to",
+                    Change::Fit => "the pool has all its requests again",
+                };
+                info!(self.net.log, "{}", what; "pool" => &pool.name, "healthy" => share);
+            }
+        }
+    }
+}
+
+/// What connections and requests may take, in all and by whom.
+pub struct Budgets {
+    /// Requests in flight, by listener, route and pool.
+    pub requests: Shared,
+    /// Connections of both sides, by listener and pool.
+    pub connections: Shared,
+    /// Callers' connections, by listener.
+    pub callers: Shared,
+    /// Copies in flight, by shadow pool: they take nothing of what requests may have.
+    pub copies: Shared,
+}
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -1,36 +1,193 @@
-//! A new configuration, on SIGHUP: discovery is followed to where the file now says it answers. What else the
-//! file says holds from the next start on.
+//! A new configuration, on SIGHUP.
+//!
+//! On the platform, discovery is followed to where the file now says it answers, and what else the file says holds
+//! from the next start on. An operator's file is one version: it is checked whole, its new listeners are bound, and
+//! only then does anything change; a file that can't be used changes nothing. Requests that were taken end in the
+//! pools and by the rules that they were taken under.
 
+use crate::admission::Version;
+use crate::callers;
+use crate::plan::{PoolPlan, Reload};
+use crate::pools::PoolId;
 use crate::Proxy;
+use garnettally_config::file::{self, Operator};
 use garnettally_config::platform::Config;
+use garnettally_routing::budget::HolderId;
 use slog::{error, info};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
 
-/// What the file said last.
-pub struct Reload {
-    discovery: Option<SocketAddr>,
+/// What is read again, and what the last version was.
+pub struct Reloads {
+    from: Reload,
+    versions: u64,
+    /// A reload that waits for its file to rest, and when it is given up.
+    waits: Option<(Instant, Instant)>,
 }
 
-impl Reload {
-    pub fn new(discovery: Option<SocketAddr>) -> Reload {
-        Reload { discovery }
+impl Reloads {
+    pub fn new(from: Reload) -> Reloads {
+        Reloads { from, versions: 0, waits: None }
     }
+
+    /// When a waiting reload looks at its file again.
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.waits.map(|(look, _)| look)
+    }
+}
+
+/// How long ago a file was written; `None`: it can't be told.
+fn age(path: &str) -> Option<Duration> {
+    let modified = std::fs::metadata(path).and_then(|m| m.modified()).ok()?;
+    // A time ahead of the clock tells of no writer at work.
+    Some(SystemTime::now().duration_since(modified).unwrap_or(Duration::MAX))
 }
 
 impl Proxy {
     /// SIGHUP has come. Connections and requests go on as they are; with a file that can't be used, all does.
-    pub fn reload(&mut self) {
+    pub fn reload(&mut self, now: Instant) {
+        match self.reload.from {
+            Reload::Platform(discovery) => self.reload_platform(discovery),
+            Reload::File(_) => {
+                let give_up = self.reload.waits.map_or(now + self.net.limits.reload_wait, |(_, at)| at);
+                self.reload.waits = Some((now, give_up));
+                self.continue_reload(now);
+            }
+        }
+    }
+
+    fn reload_platform(&mut self, before: Option<SocketAddr>) {
         let config = match Config::from_environment() {
             Ok(config) => config,
             Err(e) => return error!(self.net.log, "the new configuration is not used"; "error" => e),
         };
         info!(self.net.log, "configuration read again; all but discovery waits for a restart");
         // `GW_DISCOVERY` was given for the file of that time: a change in the file is the later word.
-        if let Some(address) =
-            config.discovery_in_file.filter(|_| config.discovery_in_file != self.reload.discovery)
-        {
-            self.reload.discovery = config.discovery_in_file;
-            self.follow_discovery(address);
+        if let Some(address) = config.discovery_in_file.filter(|_| config.discovery_in_file != before) {
+            self.reload.from = Reload::Platform(config.discovery_in_file);
+            for pool in self.pools.ids() {
+                self.follow_discovery(pool, address);
+            }
+        }
+    }
+
+    /// Reads the operator's file once it has rested: a writer may still be at work, and half a file can look whole.
+    pub fn continue_reload(&mut self, now: Instant) {
+        let Some((_, give_up)) = self.reload.waits.filter(|(look, _)| *look <= now) else { return };
+        let Reload::File(path) = &self.reload.from else { return };
+        let path = path.clone();
+        let rest = self.net.limits.reload_rest;
+        if age(&path).is_some_and(|age| age < rest) {
+            if now < give_up {
+                self.reload.waits = Some((now + rest, give_up));
+                return;
+            }
+            self.reload.waits = None;
+            return error!(self.net.log, "the new version is refused: its file does not stop changing"; "file" => path);
+        }
+        self.reload.waits = None;
+        let refused = match file::load(&path) {
+            Ok(operator) => self.apply(operator, now).err(),
+            Err(problems) => Some(problems.to_string()),
+        };
+        if let Some(problems) = refused {
+            error!(self.net.log, "the new version is refused, and the one before it stays in force";
+                "version" => self.reload.versions, "file" => path, "problems" => problems);
+        }
+    }
+
+    /// Puts a checked version in force, whole; or changes nothing and says why.
+    fn apply(&mut self, mut operator: Operator, now: Instant) -> Result<(), String> {
+        // What may fail comes first.
+        let mut bound: BTreeMap<String, TcpListener> = BTreeMap::new();
+        let listening: Vec<_> =
+            self.callers.listening().map(|(id, name, address)| (id, name.to_string(), address)).collect();
+        for l in &operator.listeners {
+            if !listening.iter().any(|(_, name, address)| *name == l.name && *address == l.address) {
+                let socket = callers::bind(&self.net, l.address).map_err(|e| {
+                    format!("listeners.{}.address: can't listen on {}: {e}", l.name, l.address)
+                })?;
+                bound.insert(l.name.clone(), socket);
+            }
+        }
+        self.budgets.requests.resize(operator.requests);
+        self.pins.resize(operator.pins);
+        self.log_requests = operator.logging.requests;
+        let (mut added, mut kept, mut replaced) = (Vec::new(), 0, Vec::new());
+        let mut ids = Vec::new();
+        for pool in std::mem::take(&mut operator.pools) {
+            let plan = PoolPlan::from(pool);
+            let old = self.pools.named(&plan.name);
+            let same = old.and_then(|id| self.pools.get(id)).is_some_and(|p| p.basis == plan.basis);
+            match old {
+                Some(id) if same => {
+                    self.change_pool(id, plan, now);
+                    kept += 1;
+                    ids.push(id);
+                }
+                _ => {
+                    let names = if old.is_some() { &mut replaced } else { &mut added };
+                    names.push(plan.name.clone());
+                    old.into_iter().for_each(|id| self.leave_pool(id));
+                    let seed = self.seed;
+                    ids.push(self.add_pool(plan, seed, now));
+                }
+            }
+        }
+        let gone: Vec<PoolId> =
+            self.pools.iter().filter(|p| !p.leaving && !ids.contains(&p.id)).map(|p| p.id).collect();
+        let removed: Vec<String> = gone.iter().map(|&id| self.pool_name(id).to_string()).collect();
+        gone.into_iter().for_each(|id| self.leave_pool(id));
+        let wanted: Vec<_> = operator.listeners.iter().map(|l| (l.name.clone(), l.address)).collect();
+        for l in std::mem::take(&mut operator.listeners) {
+            let old = listening.iter().find(|(_, name, address)| *name == l.name && *address == l.address);
+            match (old, bound.remove(&l.name)) {
+                (Some((id, ..)), _) => self.callers.change(&self.budgets, *id, &l),
+                (None, Some(socket)) => {
+                    let (name, address) = (l.name.clone(), l.address);
+                    match self.callers.add(&self.net, &self.budgets, l, socket) {
+                        Ok(()) => info!(self.net.log, "listening"; "listener" => name, "address" => %address),
+                        Err(e) => {
+                            error!(self.net.log, "a new listener can't be served"; "listener" => name, "error" => %e)
+                        }
+                    }
+                }
+                (None, None) => {}
+            }
+        }
+        for (id, name, address) in &listening {
+            if !wanted.contains(&(name.clone(), *address)) {
+                info!(self.net.log, "the listener ends"; "listener" => name, "address" => %address);
+                self.leave_listener(*id);
+            }
+        }
+        self.put_in_force(operator, ids);
+        info!(self.net.log, "the new version is in force"; "version" => self.reload.versions,
+            "pools_added" => added.join(","), "pools_replaced" => replaced.join(","),
+            "pools_removed" => removed.join(","), "pools_kept" => kept);
+        Ok(())
+    }
+
+    /// Makes the routes of a version those that requests are matched by.
+    pub fn put_in_force(&mut self, operator: Operator, pools: Vec<PoolId>) {
+        self.reload.versions += 1;
+        // A route that stays, by its name, goes on in what it is counted in.
+        let before = self.version.take();
+        let mut held: BTreeMap<String, HolderId> = BTreeMap::new();
+        for (name, holder) in before.iter().flat_map(|v| v.holders()) {
+            held.insert(name.to_string(), holder);
         }
+        let requests = self.budgets.requests.clone();
+        let version = Version::new(operator, pools, |name, share| match held.remove(name) {
+            Some(holder) => {
+                requests.change(holder, share);
+                holder
+            }
+            None => requests.join(share),
+        });
+        held.into_values().for_each(|holder| self.budgets.requests.leave(holder));
+        self.version = Some(Rc::new(version));
     }
 }
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -61,7 +61,7 @@
             && self.shutdown.accept_until.is_some_and(|at| at <= now)
         {
             // What the kernel has accepted meanwhile is taken already.
-            self.accept();
+            self.accept_all();
             self.callers.stop_listening(&self.net);
             self.shutdown.deaf = true;
         }
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -1,12 +1,15 @@
 //! The upstream side: attempts, and the pool of connections that they use one at a time.
 
 use crate::http::{self, Answer, Request};
+use crate::lease::Lease;
+use crate::pools::PoolId;
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use garnettally_decisions::facade::{Code, RequestId, ServerId};
+use garnettally_routing::budget::{exceeds, HolderId, Share};
 use rustc_hash::FxHashMap;
 use slog::warn;
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -14,9 +17,32 @@
 /// An attempt: the request, and its number among the request's sends.
 pub type Attempt = (RequestId, u32);
 
+/// An upstream of a pool.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Target {
+    pub pool: PoolId,
+    pub server: ServerId,
+}
+
+/// What the connections of one pool go by.
+pub struct Terms {
+    /// How long opening one may take.
+    pub connect: Duration,
+    /// How long one between requests is kept.
+    pub keep: Duration,
+    /// Whose share of the connections they are.
+    pub holder: HolderId,
+    /// Their share of the memory for unfinished answers.
+    pub memory: Share,
+    /// Any 2xx or 3xx answer serves a request; on the platform 200 alone does.
+    pub any_success: bool,
+}
+
 /// How an attempt ended.
 pub struct Ended {
     pub attempt: Attempt,
+    /// Where it was sent; `None`: nowhere.
+    pub target: Option<Target>,
     pub code: Code,
     pub latency: Duration,
     pub answer: Option<Answer>,
@@ -25,10 +51,13 @@
 struct Flight {
     attempt: Attempt,
     sent: Instant,
+    /// Its request asks for no body.
+    head: bool,
 }
 
 struct Conn {
-    upstream: ServerId,
+    upstream: Target,
+    lease: Lease,
     address: SocketAddr,
     socket: Watched,
     /// It has come up.
@@ -43,12 +72,13 @@
 /// The connections to upstreams.
 #[derive(Default)]
 pub struct Upstreams {
-    addresses: FxHashMap<ServerId, SocketAddr>,
+    terms: FxHashMap<PoolId, Terms>,
+    addresses: FxHashMap<Target, SocketAddr>,
     conns: FxHashMap<ConnId, Conn>,
     /// Idle connections of each upstream, the one used last at the end.
-    idle: FxHashMap<ServerId, Vec<ConnId>>,
+    idle: FxHashMap<Target, Vec<ConnId>>,
     /// Upstreams that closed a connection unnoticed: how long theirs may idle, and when that was learned.
-    keeps: FxHashMap<ServerId, (Duration, Instant)>,
+    keeps: FxHashMap<Target, (Duration, Instant)>,
     flights: FxHashMap<Attempt, ConnId>,
     deadlines: BinaryHeap<Reverse<(Instant, Attempt, bool)>>,
 }
@@ -58,23 +88,47 @@
         self.conns.len()
     }
 
-    /// What is held of answers that are not whole.
-    fn held(&self) -> usize {
-        self.conns.values().map(|c| c.input.len()).sum()
+    /// Whether a pool's connections hold more than they may of answers that are not whole.
+    fn hold_too_much(&self, pool: PoolId, capacity: usize) -> bool {
+        let mut held: BTreeMap<PoolId, (Share, usize)> =
+            self.terms.iter().map(|(&id, t)| (id, (t.memory, 0))).collect();
+        for c in self.conns.values() {
+            held.entry(c.upstream.pool).or_default().1 += c.input.len();
+        }
+        let at = held.keys().position(|&p| p == pool).unwrap_or(usize::MAX);
+        exceeds(capacity, &held.into_values().collect::<Vec<_>>(), at)
+    }
+
+    /// The terms of a pool's connections; at first, and whenever they have changed.
+    pub fn set_terms(&mut self, pool: PoolId, terms: Terms) {
+        self.terms.insert(pool, terms);
+    }
+
+    /// A pool is no more: all that is known of its upstreams goes, and their idle connections. Nothing of it is in
+    /// flight any more.
+    pub fn remove_pool(&mut self, net: &Net, pool: PoolId) {
+        self.terms.remove(&pool);
+        self.addresses.retain(|t, _| t.pool != pool);
+        self.keeps.retain(|t, _| t.pool != pool);
+        let idle: Vec<_> = self.idle.keys().filter(|t| t.pool == pool).copied().collect();
+        for target in idle {
+            self.close_idle(net, target);
+        }
     }
 
     /// Where this upstream is reached from now on; connections to its former address go.
-    pub fn moved(&mut self, net: &Net, upstream: ServerId, address: SocketAddr) {
+    pub fn moved(&mut self, net: &Net, upstream: Target, address: SocketAddr) {
         if self.addresses.insert(upstream, address).is_some_and(|old| old != address) {
             self.close_idle(net, upstream);
         }
     }
 
     /// How long a connection of this upstream may have been idle to be used again.
-    fn keep(&self, net: &Net, upstream: ServerId, now: Instant) -> Duration {
+    fn keep(&self, net: &Net, upstream: Target, now: Instant) -> Duration {
         let fresh = |at: Instant| now.saturating_duration_since(at) < net.limits.upstream_idle_memory;
         let learned = self.keeps.get(&upstream).filter(|(_, at)| fresh(*at));
-        learned.map_or(net.limits.upstream_idle, |(keep, _)| *keep)
+        let told = || self.terms.get(&upstream.pool).map_or(net.limits.upstream_idle, |t| t.keep);
+        learned.map_or_else(told, |(keep, _)| *keep)
     }
 
     /// Some machines close what is idle sooner than the settings say, and without a word: only the reset of the
@@ -91,7 +145,7 @@
     }
 
     /// Closes an upstream's idle connections.
-    pub fn close_idle(&mut self, net: &Net, upstream: ServerId) {
+    pub fn close_idle(&mut self, net: &Net, upstream: Target) {
         self.keeps.remove(&upstream);
         for id in self.idle.remove(&upstream).unwrap_or_default() {
             if let Some(conn) = self.conns.remove(&id) {
@@ -100,9 +154,10 @@
         }
     }
 
-    /// Closes the connection that has been idle for longest.
-    pub fn close_oldest_idle(&mut self, net: &Net) -> bool {
-        let oldest = self.idle.values().filter_map(|ids| ids.first());
+    /// Closes the connection that has been idle for longest, of those whose place helps.
+    pub fn close_oldest_idle(&mut self, net: &Net, helps: impl Fn(&Lease) -> bool) -> bool {
+        let fits = |id: &&ConnId| self.conns.get(*id).is_some_and(|c| helps(&c.lease));
+        let oldest = self.idle.values().filter_map(|ids| ids.iter().find(fits));
         let oldest = oldest.min_by_key(|id| self.conns.get(id).map(|c| c.idle_since)).copied();
         oldest.is_some_and(|id| self.remove(net, id).is_some())
     }
@@ -136,7 +191,7 @@
 
     /// The idle connection used last. One that its upstream has closed would answer with a reset: it is
     /// dropped, even if the event loop has not heard of it yet.
-    fn take_idle(&mut self, net: &Net, upstream: ServerId) -> Option<ConnId> {
+    fn take_idle(&mut self, net: &Net, upstream: Target) -> Option<ConnId> {
         let now = Instant::now();
         let keep = self.keep(net, upstream, now);
         while let Some(id) = self.idle.get_mut(&upstream)?.pop() {
@@ -154,13 +209,21 @@
     /// Gives an attempt up: its connection closes.
     pub fn cancel(&mut self, net: &Net, attempt: Attempt) -> Option<Ended> {
         let id = *self.flights.get(&attempt)?;
-        Some(self.remove(net, id)?.flight?.end(Code::Cancelled))
+        let conn = self.remove(net, id)?;
+        Some(conn.flight.as_ref()?.end(Code::Cancelled).at(conn.upstream))
+    }
+}
+
+impl Ended {
+    /// The same, with where it was sent.
+    fn at(self, target: Target) -> Ended {
+        Ended { target: Some(target), ..self }
     }
 }
 
 impl Flight {
     fn end(&self, code: Code) -> Ended {
-        Ended { attempt: self.attempt, code, latency: self.sent.elapsed(), answer: None }
+        Ended { attempt: self.attempt, target: None, code, latency: self.sent.elapsed(), answer: None }
     }
 }
 
@@ -177,19 +240,26 @@
 
 impl Proxy {
     /// Sends an attempt on an idle connection, or on a new one.
-    pub fn send_attempt(&mut self, attempt: Attempt, to: ServerId, request: &Request, timeout: Duration) {
+    pub fn send_attempt(&mut self, attempt: Attempt, to: Target, request: &Request, timeout: Duration) {
         let sent = Instant::now();
-        let failed = Ended { attempt, code: Code::ConnectFailed, latency: Duration::ZERO, answer: None };
+        let latency = Duration::ZERO;
+        let failed = Ended { attempt, target: Some(to), code: Code::ConnectFailed, latency, answer: None };
         let Some(&address) = self.upstreams.addresses.get(&to) else {
             return self.attempt_ended(failed);
         };
         let id = match self.upstreams.take_idle(&self.net, to) {
             Some(id) => id,
             None => {
-                if !self.make_room() {
-                    warn!(self.net.log, "no descriptor is left for an attempt"; "upstreams" => self.upstreams.count());
+                let Some(terms) = self.upstreams.terms.get(&to.pool) else {
                     return self.attempt_ended(failed);
-                }
+                };
+                let (holder, connect) = (terms.holder, terms.connect);
+                let Some(lease) = self.make_room(holder) else {
+                    warn!(self.net.log, "no connection is left for an attempt"; "upstreams" => self.upstreams.count(),
+                        "pool" => self.pool_name(to.pool));
+                    // It tells nothing of the upstream.
+                    return self.attempt_ended(Ended { target: None, ..failed });
+                };
                 let id = self.net.number();
                 let ready =
                     move |proxy: &mut Proxy, r: calloop::Readiness| proxy.upstream_ready(id, r.writable);
@@ -199,6 +269,7 @@
                 };
                 let conn = Conn {
                     upstream: to,
+                    lease,
                     address,
                     socket,
                     open: false,
@@ -209,7 +280,7 @@
                     idle_since: sent,
                 };
                 self.upstreams.conns.insert(id, conn);
-                let connect_by = sent + self.net.limits.upstream_connect;
+                let connect_by = sent + connect;
                 self.upstreams.deadlines.push(Reverse((connect_by, attempt, true)));
                 id
             }
@@ -221,7 +292,7 @@
         conn.written = 0;
         conn.input.clear();
         http::write_request(&mut conn.output, request, &conn.address.to_string(), timeout);
-        conn.flight = Some(Flight { attempt, sent });
+        conn.flight = Some(Flight { attempt, sent, head: request.method == "HEAD" });
         if conn.open {
             self.upstream_ready(id, true);
         }
@@ -252,15 +323,18 @@
             return;
         }
         let large = conn.input.len() > self.net.limits.message_bytes;
-        let crowded = large && self.upstreams.held() > self.net.limits.answers_bytes;
+        let pool = conn.upstream.pool;
+        let crowded = large && self.upstreams.hold_too_much(pool, self.net.limits.answers_bytes);
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
         if !conn.input.is_empty() {
-            match http::answer(&conn.input, reading == Reading::Ended, &self.net.limits) {
+            let head = conn.flight.as_ref().is_some_and(|f| f.head);
+            match http::answer(&conn.input, reading == Reading::Ended, head, &self.net.limits) {
                 Ok(Some(answer)) => return self.answered(id, answer, reading == Reading::Open),
                 Ok(None) if conn.input.len() <= most && !crowded => {}
                 _ if reading == Reading::Broken => {}
                 _ => {
-                    let name = self.decisions.upstream_name(conn.upstream);
+                    let upstream = conn.upstream;
+                    let name = self.upstream_name(upstream);
                     warn!(self.net.log, "an upstream's answer was not understood"; "upstream" => name);
                     return self.upstream_broken(id);
                 }
@@ -272,16 +346,19 @@
     }
 
     fn answered(&mut self, id: ConnId, answer: Answer, open: bool) {
-        let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
+        let upstreams = &mut self.upstreams;
+        let Some(conn) = upstreams.conns.get_mut(&id) else { return };
+        let terms = upstreams.terms.get(&conn.upstream.pool);
         let code = match answer.status {
             200 => Code::Ok,
+            200..=399 if terms.is_some_and(|t| t.any_success) => Code::Ok,
             503 | 504 if answer.declined => Code::Full,
             // Of the request, not of the upstream; three statuses say that a later try may do.
             400..=499 if !matches!(answer.status, 408 | 425 | 429) => Code::Rejected,
             _ => Code::Error,
         };
         let whole = conn.written == conn.output.len();
-        let Some(ended) = conn.flight.as_ref().map(|f| f.end(code)) else { return };
+        let Some(ended) = conn.flight.as_ref().map(|f| f.end(code).at(conn.upstream)) else { return };
         if open && whole && answer.keep_alive {
             let upstream = conn.upstream;
             (conn.flight, conn.idle_since) = (None, Instant::now());
@@ -299,7 +376,7 @@
         let Some(conn) = self.upstreams.remove(&self.net, id) else { return };
         if let Some(flight) = &conn.flight {
             self.upstreams.learn_keep(&self.net, &conn, flight);
-            self.attempt_ended(flight.end(conn.broken()));
+            self.attempt_ended(flight.end(conn.broken()).at(conn.upstream));
         }
     }
 
@@ -315,7 +392,7 @@
             let unsent = !conn.open || conn.written < conn.output.len();
             let code = if unsent { Code::ConnectFailed } else { Code::Timeout };
             if let Some(flight) = &conn.flight {
-                self.attempt_ended(flight.end(code));
+                self.attempt_ended(flight.end(code).at(conn.upstream));
             }
         }
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! The real program as a process, and the parties it talks to: upstreams, discovery and clients.
+#![allow(dead_code)] // each test program uses its part
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -34,6 +35,13 @@
 impl Message {
     /// Reads one; `None` when the connection ends before it is whole.
     pub fn read(from: &mut impl BufRead) -> Option<Message> {
+        let mut m = Message::read_head(from)?;
+        m.body = vec![0; m.header("content-length").map_or(0, |n| n.parse().unwrap())];
+        from.read_exact(&mut m.body).ok()?;
+        Some(m)
+    }
+
+    fn read_head(from: &mut impl BufRead) -> Option<Message> {
         let mut line = || {
             let mut line = String::new();
             let n = from.read_line(&mut line).ok()?;
@@ -45,8 +53,6 @@
             let Some((name, value)) = header.split_once(':') else { break };
             m.headers.push((name.to_lowercase(), value.trim().to_string()));
         }
-        m.body = vec![0; m.header("content-length").map_or(0, |n| n.parse().unwrap())];
-        from.read_exact(&mut m.body).ok()?;
         Some(m)
     }
 
@@ -304,6 +310,19 @@
 }
 
 impl Client {
+    /// Connects; `None`: nobody listens there.
+    pub fn connect(address: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let input = BufReader::new(stream.try_clone().unwrap());
+        Some(Client { stream, input })
+    }
+
+    /// The next answer's head, where no body follows whatever it says.
+    pub fn head(&mut self) -> Option<Message> {
+        Message::read_head(&mut self.input)
+    }
+
     pub fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).unwrap();
     }
@@ -339,3 +358,79 @@
         body.len()
     )
 }
+
+/// The program, started on an operator's file; it is killed when this is dropped.
+pub struct Operated {
+    pub balancer: Balancer,
+    /// Where its log lines go.
+    log: String,
+}
+
+impl Operated {
+    /// Starts it on this file, in which LISTEN stands for the address, and waits until it is ready.
+    pub fn start(text: &str) -> Operated {
+        let o = Operated::spawn(text);
+        let b = &o.balancer;
+        until("readiness", || TcpStream::connect(b.address).is_ok() && b.ask(READY).status() == 200);
+        o
+    }
+
+    /// The same without waiting.
+    pub fn spawn(text: &str) -> Operated {
+        Operated::spawn_with(text, None)
+    }
+
+    /// The same with another end of its log.
+    pub fn spawn_with(text: &str, log_to: Option<Stdio>) -> Operated {
+        let address = free_address();
+        let config = config_file(&text.replace("LISTEN", &address.to_string()));
+        let log = format!("{config}.log");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_garnettally"));
+        command.args(["serve", &config]).env_remove("GW_CONFIG").stdout(Stdio::null());
+        let file = std::fs::File::create(&log).unwrap();
+        command.stderr(log_to.unwrap_or(file.into()));
+        Operated { balancer: Balancer { address, child: command.spawn().unwrap(), config }, log }
+    }
+
+    /// Its log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
+    /// How often a text stands in its log.
+    pub fn logged(&self, text: &str) -> usize {
+        self.log().matches(text).count()
+    }
+
+    /// Replaces the file as a whole, with LISTEN for its address.
+    pub fn replace(&self, text: &str) {
+        let new = format!("{}.new", self.balancer.config);
+        std::fs::write(&new, text.replace("LISTEN", &self.balancer.address.to_string())).unwrap();
+        std::fs::rename(new, &self.balancer.config).unwrap();
+    }
+
+    /// Replaces the file, sends SIGHUP, and waits until the version is in force.
+    pub fn reload(&self, text: &str) {
+        let before = self.logged("the new version is in force");
+        self.replace(text);
+        self.balancer.signal("HUP");
+        until("the new version", || self.logged("the new version is in force") > before);
+    }
+}
+
+impl std::ops::Deref for Operated {
+    type Target = Balancer;
+    fn deref(&self) -> &Balancer {
+        &self.balancer
+    }
+}
+
+/// A request without a body.
+pub fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: app.test\r\n\r\n")
+}
+
+/// A request with a key and a body.
+pub fn post(path: &str, key: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: app.test\r\nIdempotency-Key: {key}\r\nContent-Length: 2\r\n\r\nhi")
+}
