--- /dev/null
+++ b/crates/emulator/src/policy.rs
@@ -0,0 +1,121 @@
+//! What decides for a balancer: the real module, or a reference to compare it with.
+
+use crate::references::{Reference, Rule};
+use garnettally_decisions::facade::{Ask, Decision, Decisions, Micros, Report};
+use garnettally_model::{Listed, Settings, Site};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// Which policy a run has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// The project's decision module, as the program runs it.
+    #[default]
+    Module,
+    /// Reference: any ready node.
+    Random,
+    /// Reference: one ready node after the other.
+    RoundRobin,
+    /// Reference: of two ready nodes, the one with fewer own requests out.
+    TwoChoices,
+    /// Reference: the ready node with the fewest own requests out.
+    LeastOutstanding,
+    /// Reference: at random, weighted by the load that nodes report.
+    WeightedReports,
+    /// Reference: the hot/cold rule over probes of requests in flight and latency (Wydrowski et al., NSDI 2024).
+    Prequal,
+    /// Reference: sees the true state of every node, and no one else's requests under way.
+    Oracle,
+}
+
+impl Kind {
+    /// All of them, the module first.
+    pub const ALL: [Kind; 8] = [
+        Kind::Module,
+        Kind::Random,
+        Kind::RoundRobin,
+        Kind::TwoChoices,
+        Kind::LeastOutstanding,
+        Kind::WeightedReports,
+        Kind::Prequal,
+        Kind::Oracle,
+    ];
+
+    /// Its name in files and results.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Module => "module",
+            Kind::Random => "random",
+            Kind::RoundRobin => "round-robin",
+            Kind::TwoChoices => "two-choices",
+            Kind::LeastOutstanding => "least-outstanding",
+            Kind::WeightedReports => "weighted-reports",
+            Kind::Prequal => "prequal",
+            Kind::Oracle => "oracle",
+        }
+    }
+}
+
+/// What a node is really like, for references that may see it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Truth {
+    /// Requests that it holds.
+    pub held: usize,
+    /// The work it can do in a microsecond; 0: none.
+    pub capacity: f64,
+    /// How long its requests took of late, in microseconds.
+    pub latency: f64,
+}
+
+/// The true state of the nodes of a tier.
+pub type Truths = Rc<RefCell<Vec<Truth>>>;
+
+/// Decides for one balancer. Nodes are numbered by their places in the tier.
+pub trait Policy {
+    /// Where a new request goes.
+    fn pick(&mut self, now: Micros, ask: Ask) -> Vec<Decision>;
+    /// Takes in what has become known.
+    fn report(&mut self, now: Micros, report: Report) -> Vec<Decision>;
+    /// Lets time pass.
+    fn tick(&mut self, now: Micros) -> Vec<Decision>;
+    /// When time is to pass next.
+    fn next_tick(&self) -> Option<Micros>;
+}
+
+impl Policy for Decisions {
+    fn pick(&mut self, now: Micros, ask: Ask) -> Vec<Decision> {
+        Decisions::pick(self, now, ask)
+    }
+    fn report(&mut self, now: Micros, report: Report) -> Vec<Decision> {
+        Decisions::report(self, now, report)
+    }
+    fn tick(&mut self, now: Micros) -> Vec<Decision> {
+        Decisions::tick(self, now)
+    }
+    fn next_tick(&self) -> Option<Micros> {
+        Decisions::next_tick(self)
+    }
+}
+
+/// A policy of a kind for one balancer.
+pub fn new(kind: Kind, site: Site, seed: u64, now: Micros, truths: &Truths) -> Box<dyn Policy> {
+    let settings: Settings = site.settings.clone();
+    let rule = match kind {
+        Kind::Module => return Box::new(Decisions::new(site, seed, now)),
+        Kind::Random => Rule::Random,
+        Kind::RoundRobin => Rule::RoundRobin { next: seed as usize },
+        Kind::TwoChoices => Rule::TwoChoices,
+        Kind::LeastOutstanding => Rule::LeastOutstanding,
+        Kind::WeightedReports => Rule::WeightedReports,
+        Kind::Prequal => Rule::Prequal(Default::default()),
+        Kind::Oracle => Rule::Oracle,
+    };
+    Box::new(Reference::new(rule, settings, seed, truths.clone()))
+}
+
+/// Whether a node of a list takes new requests.
+pub(crate) fn takes(state: Listed) -> bool {
+    state == Listed::Ready
+}
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -4,6 +4,7 @@
 use crate::http::{self, Bad, Request};
 use crate::pools::PoolId;
 use crate::Proxy;
+use garnettally_config::file::format::LogRequests;
 use garnettally_config::file::Operator;
 use garnettally_decisions::facade::{ClassId, Effect, KeyId, Micros, TenantId};
 use garnettally_model::key;
@@ -154,35 +155,34 @@
         now: Instant,
     ) -> Result<Admitted, Unfit> {
         let at = self.net.clock.at(now);
+        let id = match &request.id {
+            Some(id) if !id.is_empty() => id.clone(),
+            _ => {
+                let id = format!("{:016x}", self.net.rng.u64(..));
+                request.add_header("Req-Id", &id);
+                id
+            }
+        };
+        let request = &*request;
         let subject = Subject {
             method: &request.method,
             host: &request.host,
             path: request.path(),
             query: request.query(),
-            headers: &*request,
+            headers: request,
         };
         let found = version.table.find(&subject).ok_or(Unfit::Bad(Bad(404)))?;
         let in_force = version.routes[found.route].clone();
         let route = &in_force.route;
         let refused = |retry_after| Unfit::Refused { retry_after, route: Some(in_force.clone()) };
         let (class, effect) = &version.classes[route.class.0 as usize];
-        let take = |source: &Option<garnettally_routing::route::Source>| {
-            source.as_ref().and_then(|s| s.take(&subject, &found.params).map(|v| v.into_owned()))
-        };
-        let (tenant, key_text) = (take(&route.tenant), take(&route.key));
+        let tenant = route.tenant.as_ref().and_then(|s| s.take(&subject, &found.params));
+        let key_text = route.key.as_ref().and_then(|s| s.take(&subject, &found.params));
         if matches!(effect, Effect::Keyed { .. }) && key_text.is_none() {
             return Err(Unfit::Bad(Bad(400)));
         }
         let deadline = route.deadline.time(&subject, &found.params).map_err(|_| Unfit::Bad(Bad(400)))?;
         let (cost, repeat) = http::hints(request).map_err(Unfit::Bad)?;
-        let id = match &request.id {
-            Some(id) if !id.is_empty() => id.clone(),
-            _ => {
-                let id = format!("{:016x}", self.net.rng.u64(..));
-                request.add_header("Req-Id", &id);
-                id
-            }
-        };
         // Keys of one class are one space; what else is hashed is this process's own affair.
         let hashed = |text: &str| stable_hash(self.key_seed ^ u64::from(route.class.0), text.as_bytes());
         let pin = match (effect, &key_text) {
@@ -233,10 +233,11 @@
             }
             pool = others.remove(0);
         }
-        let labels = Labels { class: class.clone(), tenant: tenant.clone() };
+        let labels = (self.log_requests != LogRequests::None)
+            .then(|| Labels { class: class.clone(), tenant: tenant.as_deref().map(str::to_string) });
         Ok(Admitted {
             class: route.class,
-            tenant: tenant.and_then(|t| version.tenants.get(&t).copied()),
+            tenant: tenant.and_then(|t| version.tenants.get(&*t).copied()),
             deadline: Duration::from_micros(deadline.0.max(0) as u64),
             cost,
             repeat,
@@ -250,7 +251,7 @@
                 .map(|m| place(m.pool)),
             id,
             pin,
-            labels: Some(labels),
+            labels,
             route: Some(in_force.clone()),
         })
     }
@@ -261,8 +262,7 @@
         pool: PoolId,
         route: Option<&RouteInForce>,
         listener: Option<HolderId>,
-    ) -> Vec<HolderId> {
-        let pool = self.pools.get(pool).map(|p| p.requests);
-        pool.into_iter().chain(route.map(|r| r.holder)).chain(listener).collect()
+    ) -> [Option<HolderId>; 3] {
+        [self.pools.get(pool).map(|p| p.requests), route.map(|r| r.holder), listener]
     }
 }
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -238,7 +238,7 @@
             let (listener, connections, callers) = (listener.clone(), l.connections, l.callers);
             // The callers' own limit is one more than that, until the next one comes: nothing is closed for a
             // connection that is not there.
-            while let Err(why) = self.budgets.callers.check(&[callers]) {
+            while let Err(why) = self.budgets.callers.check(&[Some(callers)]) {
                 if !self.close_idle_caller_for(|c| c._caller.helps(callers, why)) {
                     return self.rest_accepting(at, "no connection is idle");
                 }
@@ -258,8 +258,10 @@
                     return self.rest_accepting(at, &e.to_string());
                 }
             };
-            let leases =
-                (self.budgets.connections.take(&[connections]), self.budgets.callers.take(&[callers]));
+            let leases = (
+                self.budgets.connections.take(&[Some(connections)]),
+                self.budgets.callers.take(&[Some(callers)]),
+            );
             let (Ok(lease), Ok(caller)) = leases else { continue };
             let id = self.net.number();
             let stream =
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -205,7 +205,7 @@
     /// Sends a copy to a shadow pool, if there is room: it takes no part in the limits of what it copies.
     fn mirror(&mut self, shadow: PoolId, a: &Admitted, request: &Rc<Request>, now: Instant) {
         let Some(pool) = self.pools.get(shadow) else { return };
-        let Ok(lease) = self.budgets.copies.take(&[pool.copies]) else { return };
+        let Ok(lease) = self.budgets.copies.take(&[Some(pool.copies)]) else { return };
         let copy = Admitted {
             id: a.id.clone(),
             class: a.class,
@@ -405,8 +405,8 @@
             }
             let of_listener = x.listener.and_then(|l| self.callers.request_holder(l));
             let of_pool = self.pools.get(next).map(|p| p.requests);
-            let holders = of_pool.into_iter().chain(x.route.as_ref().map(|r| r.holder)).chain(of_listener);
-            let Ok(lease) = self.budgets.requests.take(&holders.collect::<Vec<_>>()) else { continue };
+            let holders = [of_pool, x.route.as_ref().map(|r| r.holder), of_listener];
+            let Ok(lease) = self.budgets.requests.take(&holders) else { continue };
             let Some(mut x) = self.exchanges.open.remove(&request) else { return };
             self.pool_let_go(x.pool);
             x.lease = lease;
--- a/crates/serve/src/lease.rs
+++ b/crates/serve/src/lease.rs
@@ -36,11 +36,11 @@
     }
 
     /// Whether a unit could be had.
-    pub fn check(&self, holders: &[HolderId]) -> Result<(), Refusal> {
+    pub fn check(&self, holders: &[Option<HolderId>]) -> Result<(), Refusal> {
         self.0.borrow().check(holders).map(|_| ())
     }
 
-    pub fn take(&self, holders: &[HolderId]) -> Result<Lease, Refusal> {
+    pub fn take(&self, holders: &[Option<HolderId>]) -> Result<Lease, Refusal> {
         let permit = self.0.borrow_mut().take(holders)?;
         Ok(Lease { from: self.clone(), permit: Some(permit) })
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -283,7 +283,7 @@
 
     /// Makes room for one more connection of this holder, if idle ones take it; upstream connections go first.
     fn has_room(&mut self, holder: HolderId) -> bool {
-        while let Err(why) = self.budgets.connections.check(&[holder]) {
+        while let Err(why) = self.budgets.connections.check(&[Some(holder)]) {
             let helps = |lease: &Lease| lease.helps(holder, why);
             if !self.upstreams.close_oldest_idle(&self.net, helps)
                 && !self.close_idle_caller_helping(holder, why)
@@ -296,7 +296,7 @@
 
     fn make_room(&mut self, holder: HolderId) -> Option<Lease> {
         if self.has_room(holder) {
-            self.budgets.connections.take(&[holder]).ok()
+            self.budgets.connections.take(&[Some(holder)]).ok()
         } else {
             None
         }
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -244,8 +244,10 @@
             found.into_iter().filter_map(|(name, dial, state)| Some((number(&name)?, dial, state))).collect();
         if all {
             let named: rustc_hash::FxHashSet<ServerId> = found.iter().map(|f| f.0).collect();
-            for gone in pool.health.keep_listed(|id| named.contains(&id)) {
-                self.upstreams.close_idle(&self.net, Target { pool: id, server: gone });
+            let gone = pool.health.keep_listed(|id| named.contains(&id));
+            // On the platform only draining binds: one that is left out may be sent to, and its connections cost.
+            for server in gone.into_iter().filter(|_| pool.basis.is_some()) {
+                self.upstreams.close_idle(&self.net, Target { pool: id, server });
             }
         }
         for (server, dial, state) in found {
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod explain;
+mod lab;
 mod logging;
 
 use calloop::signals::{Signal, Signals};
@@ -50,6 +51,10 @@
         /// The shell
         shell: clap_complete::Shell,
     },
+    /// Run a world in virtual time, under the decision module or a reference, and check the rules
+    Emulate(lab::Emulate),
+    /// Cross worlds, settings, policies and seeds, and write tables and charts
+    Experiment(lab::Experiment),
     /// Print name and version
     Version,
 }
@@ -89,6 +94,8 @@
             clap_complete::generate(shell, &mut Cli::command(), "garnettally", &mut script);
             print(&String::from_utf8_lossy(&script))
         }
+        Some(Command::Emulate(emulate)) => print(&emulate.run()?),
+        Some(Command::Experiment(experiment)) => print(&experiment.run()?),
         Some(Command::Version) => print(concat!("garnettally ", env!("CARGO_PKG_VERSION"), "\n")),
     }
 }
