Add load, fleet, demo and agree, and have pools ask discovery from the start

Change: crate load (open and closed loop, mixes, latency from the intended time, one answer to each request), crate fleet (the first tier of a world on loopback sockets, with discovery and faults), commands load, fleet, demo and agree; make run runs the demo. A pool of an operator's file that is told by discovery never asked for it: the module wants to hear of something first, so it is now told of an empty list; a test follows such a pool through drains and a change of address.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The tasks of this repository; `.ci/run` is what a change has to pass.
-.PHONY: build test lint run check ci
+.PHONY: build test lint run serve check ci
 
 build:
 	cargo build --release --locked
@@ -12,9 +12,12 @@
 	cargo clippy --locked --all-targets -- -D warnings
 	RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --quiet
 
-# FILE names the operator's file: make run FILE=my.toml
-FILE ?= deploy/example.toml
 run: build
+	target/release/garnettally demo
+
+# FILE names the operator's file: make serve FILE=my.toml
+FILE ?= deploy/example.toml
+serve: build
 	target/release/garnettally serve "$(FILE)"
 
 check: build
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -8,6 +8,7 @@
 use crate::{Proxy, Shared};
 use garnettally_config::file::{Basis, Nodes};
 use garnettally_decisions::facade::{Code, Decision, Decisions, Listed, Micros, Report, ServerId};
+use garnettally_model::HostList;
 use garnettally_routing::budget::HolderId;
 use garnettally_routing::failover::{Change, Fitness};
 use garnettally_routing::health;
@@ -141,7 +142,10 @@
             news: Vec::new(),
             first_news: None,
         };
-        if let Some(known) = plan.known {
+        // The module asks for a watch when it first hears of anything, if only of an empty list.
+        let nothing = || HostList { seq: 0, whole: true, hosts: Vec::new() };
+        let known = plan.known.or_else(|| matches!(pool.source, Source::Watch(_)).then(nothing));
+        if let Some(known) = known {
             pool.queue(Report::Known(known), now);
         }
         if let Some(list) = told {
@@ -275,7 +279,8 @@
     /// Looks at the health of every pool, which failover goes by.
     pub fn review_pools(&mut self, now: Instant) {
         let at = self.net.clock.at(now);
-        for pool in self.pools.all.values_mut() {
+        // Before its nodes are told, nothing is known of a pool.
+        for pool in self.pools.all.values_mut().filter(|p| p.told) {
             let share = pool.health.healthy_share(at);
             if let Some(change) = pool.fitness.update(at, share) {
                 let what = match change {
--- a/src/lab.rs
+++ b/src/lab.rs
@@ -1,4 +1,4 @@
-//! The lab's commands: `emulate` and `experiment`. Nothing here is reached from `serve`.
+//! The lab's commands: `emulate`, `experiment` and `load`. Nothing here is reached from `serve`.
 
 use clap::Args;
 use garnettally_emulator::day;
@@ -6,8 +6,13 @@
 use garnettally_emulator::world::World;
 use garnettally_experiment::plan::Plan;
 use garnettally_experiment::{publish, run};
+use garnettally_load::mix::Mix;
+use garnettally_load::run::{Load as LoadPlan, Mode, Progress};
+use garnettally_load::schedule::Phase;
 use std::io::IsTerminal;
+use std::net::{SocketAddr, ToSocketAddrs};
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// A run of a world in virtual time.
 #[derive(Args)]
@@ -84,3 +89,115 @@
         }
     }
 }
+
+/// A load on any HTTP/1.1 service.
+#[derive(Args)]
+pub struct Load {
+    /// Where the service answers: http://HOST:PORT/PATH; the path is asked for where there is no mix
+    url: String,
+    /// A mix of requests, in TOML (docs/load.md)
+    #[arg(long)]
+    mix: Option<PathBuf>,
+    /// Open loop: phases of RATE:TIME or FROM-TO:TIME, requests a second, separated by commas
+    #[arg(long, default_value = "100:10s", value_parser = phases)]
+    rate: Phases,
+    /// Closed loop instead: so many clients that ask again once they are answered
+    #[arg(long, value_name = "CLIENTS")]
+    closed: Option<usize>,
+    /// For how long the closed loop asks
+    #[arg(long = "for", default_value = "10s", value_parser = humantime::parse_duration)]
+    lasts: Duration,
+    /// The most connections
+    #[arg(long, default_value_t = 1000)]
+    connections: usize,
+    /// An answer must come within this
+    #[arg(long, default_value = "5s", value_parser = humantime::parse_duration)]
+    timeout: Duration,
+    /// The seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Print the report as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Clone)]
+struct Phases(Vec<Phase>);
+
+fn phases(text: &str) -> Result<Phases, String> {
+    let phase = |part: &str| {
+        let (rate, time) = part.split_once(':').ok_or("write a phase as RATE:TIME or FROM-TO:TIME")?;
+        let number = |n: &str| {
+            n.trim().parse::<f64>().ok().filter(|n| (0.0..1e7).contains(n)).ok_or("a rate is a number from 0")
+        };
+        let (from, to) = match rate.split_once('-') {
+            Some((from, to)) => (number(from)?, number(to)?),
+            None => (number(rate)?, number(rate)?),
+        };
+        let lasts = humantime::parse_duration(time.trim()).map_err(|e| format!("{time:?}: {e}"))?;
+        Ok(Phase { from, to, lasts })
+    };
+    text.split(',').map(phase).collect::<Result<Vec<_>, String>>().map(Phases)
+}
+
+impl Load {
+    /// The report; an answer that nobody had asked for, or a schedule that was not kept, is a failure.
+    pub fn run(&self) -> Result<String, String> {
+        let rest = self.url.strip_prefix("http://").ok_or("the address must begin with http://")?;
+        let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+        let named = if host.rsplit_once(':').is_some_and(|(_, p)| p.parse::<u16>().is_ok()) {
+            host.to_string()
+        } else {
+            format!("{host}:80")
+        };
+        let address: SocketAddr = named
+            .to_socket_addrs()
+            .map_err(|e| format!("{named}: {e}"))?
+            .next()
+            .ok_or_else(|| format!("{named}: no address"))?;
+        let mix = match &self.mix {
+            None => Mix::plain(if path.is_empty() { "/" } else { path }),
+            Some(file) => {
+                let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+                Mix::parse(&text).map_err(|e| format!("{}: {e}", file.display()))?
+            }
+        };
+        let mode = match self.closed {
+            Some(clients) => Mode::Closed { clients, lasts: self.lasts },
+            None => Mode::Open(self.rate.0.clone()),
+        };
+        let plan = LoadPlan {
+            address,
+            host: host.into(),
+            mix,
+            mode,
+            connections: self.connections.max(self.closed.unwrap_or(1)),
+            backlog: 1_000_000,
+            timeout: self.timeout,
+            seed: self.seed,
+        };
+        let live = std::io::stderr().is_terminal();
+        let show = |p: &Progress| {
+            if live {
+                eprint!("\r{:>5.0} s  {:>7} meant  {:>7} ok  {:>6} refused  {:>5} bad  {:>5} out  p50 {:>7.1}  p99 {:>7.1} ms ",
+                    p.elapsed.as_secs_f64(), p.meant, p.ok, p.refused, p.bad, p.out, p.p50_ms, p.p99_ms);
+            }
+            true
+        };
+        let report = garnettally_load::run::run(plan, show).map_err(|e| format!("{named}: {e}"))?;
+        if live {
+            eprintln!();
+        }
+        let text = match self.json {
+            true => serde_json::to_string_pretty(&report).map_err(|e| e.to_string())? + "\n",
+            false => report.text(),
+        };
+        match (report.one_answer_each(), report.valid) {
+            (true, true) => Ok(text),
+            (false, _) => Err(format!("not every request got one answer\n{text}")),
+            (_, false) => {
+                Err(format!("the schedule was not kept, so the figures are not those of this load\n{text}"))
+            }
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! garnettally: a load balancer for services that call services. This file is the command line and the wiring.
 #![forbid(unsafe_code)]
 
+mod demo;
 mod explain;
 mod lab;
 mod logging;
@@ -55,6 +56,14 @@
     Emulate(lab::Emulate),
     /// Cross worlds, settings, policies and seeds, and write tables and charts
     Experiment(lab::Experiment),
+    /// Start a small fleet, the balancer and clients on loopback, and show what happens
+    Demo(demo::Demo),
+    /// Play a small world in virtual time and on sockets, and compare
+    Agree(demo::Agree),
+    /// Play the first tier of a world on loopback sockets: nodes and discovery
+    Fleet(demo::Fleet),
+    /// Put a load on any HTTP/1.1 service, and check that each request gets one answer
+    Load(lab::Load),
     /// Print name and version
     Version,
 }
@@ -96,6 +105,10 @@
         }
         Some(Command::Emulate(emulate)) => print(&emulate.run()?),
         Some(Command::Experiment(experiment)) => print(&experiment.run()?),
+        Some(Command::Demo(demo)) => print(&demo.run()?),
+        Some(Command::Agree(agree)) => print(&agree.run()?),
+        Some(Command::Fleet(fleet)) => print(&fleet.run()?),
+        Some(Command::Load(load)) => print(&load.run()?),
         Some(Command::Version) => print(concat!("garnettally ", env!("CARGO_PKG_VERSION"), "\n")),
     }
 }
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -406,6 +406,37 @@
     assert_eq!(body(&b.ask(&get("/"))), "two");
 }
 
+#[test]
+fn a_pool_follows_discovery_to_another_address_and_its_drains() {
+    let (one, two) = (named("one"), named("two"));
+    let (first, second) = (Discovery::start(), Discovery::start());
+    let text = |d: &Discovery| {
+        let pools = format!("[pools.p]\ndiscovery = \"{}\"\n", d.address);
+        [TOP.into(), pools, route("a", "look", "/", "pool = \"p\"")].concat()
+    };
+    let b = Operated::spawn(&text(&first));
+    let (_, mut watch) = first.watch();
+    watch.chunk(&(list(1, true, &[host("one", one.address, 0, "SERVING")]) + "\n"));
+    until("readiness", || Client::connect(b.address).is_some() && b.ask(READY).status() == 200);
+    assert_eq!(body(&b.ask(&get("/"))), "one");
+    let hosts = [host("one", one.address, 0, "DRAINING"), host("two", two.address, 0, "SERVING")];
+    watch.chunk(&(list(2, false, &hosts) + "\n"));
+    until("the second node", || body(&b.ask(&get("/"))) == "two");
+    thread::sleep(Duration::from_millis(500));
+    let before = one.count();
+    for _ in 0..20 {
+        assert_eq!(body(&b.ask(&get("/"))), "two");
+    }
+    assert_eq!(one.count(), before);
+    // Another service, the same pool: what was learned stays, and the list is that of the new one.
+    b.reload(&text(&second));
+    let (start, mut moved) = second.watch();
+    assert!(start.contains("index=0"), "{start}");
+    moved.chunk(&(list(9, true, &[host("one", one.address, 0, "SERVING")]) + "\n"));
+    until("the first node again", || body(&b.ask(&get("/"))) == "one");
+    assert!(b.log().contains("pools_kept: 1"), "{}", b.log());
+}
+
 #[test]
 fn listeners_come_and_go_with_a_version() {
     let node = named("node");
