--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -105,6 +105,8 @@
     ended: bool,
     arrived: bool,
     came: Micros,
+    /// Requests that its node held when it came.
+    came_at: usize,
     segments_left: u32,
     segment: f64,
     /// The call of the next tier that it waits for.
@@ -333,7 +335,7 @@
                     thrash,
                 };
                 let nominal = build.cores * build.speed;
-                truths.push(Truth { held: 0, capacity: nominal, latency: 0.0 });
+                truths.push(Truth { held: 0, capacity: nominal, latency: Vec::new() });
                 // Zones take turns; a cell lies within one zone.
                 let zones = world.zones.len();
                 let (zone, cell) = (i % zones, i / zones / tier.cell * zones + i % zones);
@@ -944,6 +946,7 @@
             ended: false,
             arrived: false,
             came: now,
+            came_at: 0,
             segments_left: calls,
             segment: work / f64::from(calls + 1),
             waits: None,
@@ -1095,8 +1098,9 @@
             let code = if fresh { Code::ConnectFailed } else { Code::Reset };
             return self.events.after(way, Event::Back(id, code));
         }
+        let held = self.places[node].node.held();
         if let Some(a) = self.attempts.get_mut(&id) {
-            (a.arrived, a.came) = (true, now);
+            (a.arrived, a.came, a.came_at) = (true, now, held);
         }
         let p = &mut self.places[node];
         p.connections += usize::from(fresh);
@@ -1140,7 +1144,7 @@
     fn finish_attempt(&mut self, now: Micros, id: u64, code: Code) {
         let Some(a) = self.attempts.get_mut(&id) else { return };
         a.done = true;
-        let (node, balancer, took) = (a.node, a.balancer, now - a.came);
+        let (node, balancer, took, came_at) = (a.node, a.balancer, now - a.came, a.came_at);
         if a.ended {
             self.attempts.remove(&id);
             return;
@@ -1148,8 +1152,7 @@
         if code == Code::Ok {
             let at = node - self.first[self.places[node].tier];
             let mut truths = self.truths[self.places[node].tier].borrow_mut();
-            let truth = &mut truths[at];
-            truth.latency += 0.2 * (took.0 as f64 - truth.latency);
+            truths[at].served(came_at, took.0 as f64);
         }
         if let Some(way) = self.way(balancer, node) {
             self.events.at(now + way, Event::Back(id, code));
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -59,14 +59,38 @@
 }
 
 /// What a node is really like, for references that may see it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Truth {
     /// Requests that it holds.
     pub held: usize,
     /// The work it can do in a microsecond; 0: none.
     pub capacity: f64,
-    /// How long its requests took of late, in microseconds.
-    pub latency: f64,
+    /// How long requests took of late, in microseconds, by the number that were held when they came; 0: none did.
+    pub latency: Vec<f64>,
+}
+
+impl Truth {
+    /// Notes how long a request took that came when so many were held.
+    pub(crate) fn served(&mut self, held: usize, took: f64) {
+        const MOST: usize = 256;
+        let at = held.min(MOST - 1);
+        if self.latency.len() <= at {
+            self.latency.resize(at + 1, 0.0);
+        }
+        let mean = &mut self.latency[at];
+        *mean = if *mean == 0.0 { took } else { *mean + 0.2 * (took - *mean) };
+    }
+
+    /// How long a request that comes now is thought to take: as those took that came at the same number held, or at
+    /// the nearest that is known, in proportion.
+    pub(crate) fn expected(&self) -> f64 {
+        let known = |at: usize| self.latency.get(at).copied().filter(|l| *l > 0.0);
+        let near = (0..self.latency.len() + self.held).find_map(|d| {
+            let below = self.held.checked_sub(d).and_then(|at| known(at).map(|l| (at, l)));
+            below.or_else(|| known(self.held + d).map(|l| (self.held + d, l)))
+        });
+        near.map_or(0.0, |(at, l)| l * (self.held + 1) as f64 / (at + 1) as f64)
+    }
 }
 
 /// The true state of the nodes of a tier.
--- a/crates/emulator/src/references.rs
+++ b/crates/emulator/src/references.rs
@@ -221,7 +221,7 @@
             if self.seen.len() > SEEN {
                 self.seen.pop_front();
             }
-            self.pool.push_back(Probe { server, at: now, held: t.held, latency: t.latency, uses: 0 });
+            self.pool.push_back(Probe { server, at: now, held: t.held, latency: t.expected(), uses: 0 });
             if self.pool.len() > POOL {
                 self.pool.pop_front();
             }
--- a/crates/fleet/src/nodes.rs
+++ b/crates/fleet/src/nodes.rs
@@ -166,14 +166,22 @@
 
     /// Takes the request that a node's connection has brought, one at a time.
     pub(crate) fn node_input(&mut self, id: u64, n: usize) {
-        let Some(conn) = self.conns.get_mut(&id) else { return };
+        while self.take_one(id, n) {}
+    }
+
+    /// True: it was answered at once, and another may wait behind it.
+    fn take_one(&mut self, id: u64, n: usize) -> bool {
+        let Some(conn) = self.conns.get_mut(&id) else { return false };
         if conn.job.is_some() || conn.input.is_empty() {
-            return;
+            return false;
         }
         let a = match asked(&conn.input, &self.names) {
             Ok(Some(a)) => a,
-            Ok(None) => return,
-            Err(()) => return self.close(id),
+            Ok(None) => return false,
+            Err(()) => {
+                self.close(id);
+                return false;
+            }
         };
         conn.input.drain(..a.used);
         let now = self.now();
@@ -185,16 +193,19 @@
         let class = &self.world.classes[a.class];
         let p = &mut self.places[n];
         if p.draining || p.stopped {
-            return self.reply(id, n, 503, "Srv-Declined: 1\r\n", &a.id, a.head);
+            self.reply(id, n, 503, "Srv-Declined: 1\r\n", &a.id, a.head);
+            return true;
         }
         if self.errors.chance(p.fast_errors) {
-            return self.reply(id, n, 500, "", &a.id, a.head);
+            self.reply(id, n, 500, "", &a.id, a.head);
+            return true;
         }
         let keyed = class.repeat == Repeat::Keyed;
         if let Some(key) = a.key.clone().filter(|_| keyed) {
             let cell = p.cell;
             if self.keys.get(&(cell, key.clone())).is_some_and(|at| now - *at < class.window.0) {
-                return self.reply(id, n, 200, "", &a.id, a.head);
+                self.reply(id, n, 200, "", &a.id, a.head);
+                return true;
             }
             self.keys.insert((cell, key), now);
             if self.keys.len() > 1 << 18 {
@@ -205,13 +216,17 @@
         let mean = self.world.work(a.class, 0);
         let work = a.cost.unwrap_or_else(|| self.world.classes[a.class].shape.draw(mean, &mut self.work));
         match self.places[n].node.bring(now, job, work) {
-            Brought::Full => self.reply(id, n, 503, "Srv-Declined: 1\r\n", &a.id, a.head),
+            Brought::Full => {
+                self.reply(id, n, 503, "Srv-Declined: 1\r\n", &a.id, a.head);
+                true
+            }
             _ => {
                 self.jobs.insert(job, (id, a.id, a.head));
                 if let Some(conn) = self.conns.get_mut(&id) {
                     conn.job = Some(job);
                 }
                 self.look_after(n);
+                false
             }
         }
     }
@@ -233,10 +248,6 @@
         let answer =
             format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n{report}{more}\r\n{body}", body.len());
         self.send(id, answer.as_bytes());
-        // The next request may have come meanwhile.
-        if self.conns.get(&id).is_some_and(|c| !c.input.is_empty()) {
-            self.node_input(id, n);
-        }
     }
 
     pub(crate) fn work_off(&mut self, n: usize) {
@@ -252,6 +263,8 @@
             }
             let status = if self.errors.chance(self.world.tiers[0].errors) { 500 } else { 200 };
             self.reply(id, n, status, "", &request, bare);
+            // The next request may have come meanwhile.
+            self.node_input(id, n);
         }
         self.look_after(n);
     }
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -272,23 +272,14 @@
         conn.flight = Some(Flight { kind, meant, sent, bare, number: self.number });
         self.parts[kind].0.meant += 1;
         self.deadlines.push(Reverse((meant.max(sent) + self.load.timeout, id, self.number)));
-        self.ready(id);
+        // Only written here: reading the answer here too would nest as deep as answers come at once. What breaks is told
+        // by the event loop.
+        let _ = flush(conn);
     }
 
     fn ready(&mut self, id: u64) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
-        let mut broken = false;
-        while conn.written < conn.output.len() {
-            match (&*conn.stream).write(&conn.output[conn.written..]) {
-                Ok(n) if n > 0 => conn.written += n,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                _ => {
-                    broken = true;
-                    break;
-                }
-            }
-        }
+        let mut broken = !flush(conn);
         let mut ended = false;
         loop {
             match (&*conn.stream).read(&mut self.scratch) {
@@ -416,3 +407,16 @@
         }
     }
 }
+
+/// Writes what is to be written; false: the connection is broken.
+fn flush(conn: &mut Conn) -> bool {
+    while conn.written < conn.output.len() {
+        match (&*conn.stream).write(&conn.output[conn.written..]) {
+            Ok(n) if n > 0 => conn.written += n,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return e.kind() == ErrorKind::WouldBlock,
+            Ok(_) => return false,
+        }
+    }
+    true
+}
--- a/src/lab.rs
+++ b/src/lab.rs
@@ -77,7 +77,8 @@
         let rows = run::run(&plan, &self.out, self.jobs.unwrap_or(cores), show)
             .map_err(|e| format!("{out}: {e}"))?;
         publish::publish(&plan, &rows, &self.out).map_err(|e| format!("{out}: {e}"))?;
-        let broken: u64 = rows.iter().map(|r| r.broken).sum();
+        // References break rules by their nature (they know no slow start); their breaks stand in the table.
+        let broken: u64 = rows.iter().filter(|r| r.policy == Kind::Module).map(|r| r.broken).sum();
         let text = format!(
             "{}\n{} cells; results.csv, results.md and results.html are in {out}\n",
             publish::markdown(&plan, &rows),
@@ -85,7 +86,7 @@
         );
         match broken {
             0 => Ok(text),
-            n => Err(format!("rules were broken {n} times\n{text}")),
+            n => Err(format!("the module broke rules {n} times\n{text}")),
         }
     }
 }
