Bind open keys to a replaced pool's successor, and number pins

Cause: a reload that replaced a pool with the same nodes had the repeats of its open keys refused until their windows ended; and an attempt that ended unsent after its window could give up the pin of a later request with the same key, which would have let that one's repeat go to another pool.

Change: Pins::rebind binds the keys to the successor where the nodes are the same; pins have numbers, and an unsent attempt gives up only the one it was noted under.

--- a/crates/routing/src/pins.rs
+++ b/crates/routing/src/pins.rs
@@ -13,6 +13,7 @@
     by_key: FxHashMap<u64, Pin<P>>,
     ends: BinaryHeap<Reverse<(Micros, u64)>>,
     most: usize,
+    next: u64,
 }
 
 struct Pin<P> {
@@ -20,6 +21,8 @@
     until: Micros,
     /// Attempts out, and those that may have run: while there are any, the pin holds.
     attempts: u32,
+    /// Told apart from a later pin of the same key.
+    number: u64,
 }
 
 /// No pin is free: a key that can't be remembered must not be sent where a repeat could go elsewhere.
@@ -30,7 +33,7 @@
 impl<P: Copy + PartialEq> Pins<P> {
     /// Room for so many keys.
     pub fn new(most: usize) -> Pins<P> {
-        Pins { by_key: FxHashMap::default(), ends: BinaryHeap::new(), most }
+        Pins { by_key: FxHashMap::default(), ends: BinaryHeap::new(), most, next: 0 }
     }
 
     /// The number of keys held.
@@ -55,24 +58,31 @@
     }
 
     /// Notes an attempt that is about to be sent. The window is that of the first attempt that may have run: a
-    /// later one does not lengthen it.
-    pub fn sent(&mut self, now: Micros, key: u64, pool: P, until: Micros) -> Result<(), Full> {
+    /// later one does not lengthen it. The number names the pin to [`Pins::never_ran`].
+    pub fn sent(&mut self, now: Micros, key: u64, pool: P, until: Micros) -> Result<u64, Full> {
         self.expire(now);
         if let Some(pin) = self.by_key.get_mut(&key) {
             pin.attempts = pin.attempts.saturating_add(1);
-            return Ok(());
+            return Ok(pin.number);
         }
         if self.by_key.len() >= self.most {
             return Err(Full);
         }
-        self.by_key.insert(key, Pin { pool, until, attempts: 1 });
+        self.next += 1;
+        self.by_key.insert(key, Pin { pool, until, attempts: 1, number: self.next });
         self.ends.push(Reverse((until, key)));
-        Ok(())
+        Ok(self.next)
     }
 
-    /// An attempt that was noted has ended, and never ran.
-    pub fn never_ran(&mut self, key: u64) {
-        if let Some(pin) = self.by_key.get_mut(&key) {
+    /// A pool has given way to one with the same nodes: its keys are bound to that one.
+    pub fn rebind(&mut self, from: P, to: P) {
+        self.by_key.values_mut().filter(|p| p.pool == from).for_each(|p| p.pool = to);
+    }
+
+    /// An attempt that was noted under this number has ended, and never ran. One that outlived its window must not
+    /// give up the pin of a later request.
+    pub fn never_ran(&mut self, key: u64, number: u64) {
+        if let Some(pin) = self.by_key.get_mut(&key).filter(|p| p.number == number) {
             pin.attempts = pin.attempts.saturating_sub(1);
             if pin.attempts == 0 {
                 self.by_key.remove(&key);
@@ -105,12 +115,16 @@
     #[test]
     fn a_full_memory_takes_no_new_key_but_knows_the_old_ones() {
         let mut pins = Pins::new(1);
-        assert_eq!(pins.sent(Micros(0), 1, 'a', Micros(10)), Ok(()));
+        assert_eq!(pins.sent(Micros(0), 1, 'a', Micros(10)), Ok(1));
         assert_eq!(pins.sent(Micros(0), 2, 'a', Micros(10)), Err(Full));
-        assert_eq!(pins.sent(Micros(0), 1, 'a', Micros(20)), Ok(()));
+        assert_eq!(pins.sent(Micros(0), 1, 'a', Micros(20)), Ok(1));
         assert_eq!(pins.get(Micros(9), 1), Some(('a', Micros(10))), "the window is the first attempt's");
         assert_eq!(pins.get(Micros(10), 1), None);
-        assert_eq!(pins.sent(Micros(10), 2, 'b', Micros(20)), Ok(()), "an ended window makes room");
+        assert_eq!(pins.sent(Micros(10), 2, 'b', Micros(20)), Ok(2), "an ended window makes room");
+        pins.never_ran(2, 1);
+        assert_eq!(pins.get(Micros(11), 2).map(|p| p.0), Some('b'), "another pin's attempt gives up nothing");
+        pins.rebind('b', 'c');
+        assert_eq!(pins.get(Micros(11), 2).map(|p| p.0), Some('c'));
     }
 
     #[derive(Clone, Debug)]
@@ -140,7 +154,7 @@
                 match op {
                     Op::Send(key, pool) => {
                         let to = pins.get(now, key).map_or(pool, |p| p.0);
-                        prop_assert_eq!(pins.sent(now, key, to, now + Micros(WINDOW)), Ok(()));
+                        prop_assert!(pins.sent(now, key, to, now + Micros(WINDOW)).is_ok());
                         plain.retain(|_, p| p.1 > now);
                         let p = plain.entry(key).or_insert((pool, now + Micros(WINDOW), 0));
                         p.2 += 1;
@@ -149,7 +163,8 @@
                     Op::NeverRan(key) => {
                         plain.retain(|_, p| p.1 > now);
                         pins.expire(now);
-                        pins.never_ran(key);
+                        let number = pins.by_key.get(&key).map_or(0, |p| p.number);
+                        pins.never_ran(key, number);
                         if let Some(p) = plain.get_mut(&key) {
                             p.2 -= 1;
                             if p.2 == 0 {
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -43,6 +43,7 @@
     /// Where it may go if this pool refuses it and nothing can have run.
     others: Vec<PoolId>,
     pin: Option<(u64, Micros)>,
+    pin_number: u64,
     /// Its place in the limits.
     lease: Lease,
     listener: Option<ListenerId>,
@@ -181,6 +182,7 @@
             may_have_run: false,
             others: a.others,
             pin: a.pin,
+            pin_number: 0,
             lease,
             listener,
             route: a.route,
@@ -249,7 +251,7 @@
         x.may_have_run |= !never_ran;
         let over = x.over;
         if let Some((key, _)) = x.pin.filter(|_| never_ran) {
-            self.pins.never_ran(key);
+            self.pins.never_ran(key, x.pin_number);
         }
         if let Some(target) = ended.target {
             self.note_health(target, ended.code, Instant::now());
@@ -366,7 +368,11 @@
         if let Some((key, window)) = pin {
             let now = self.net.clock.at(Instant::now());
             let several = x.route.as_ref().is_some_and(|r| r.route.pools.several());
-            if self.pins.sent(now, key, to.pool, now + window).is_err() {
+            let pinned = self.pins.sent(now, key, to.pool, now + window);
+            if let (Ok(number), Some(x)) = (pinned, self.exchanges.open.get_mut(&request)) {
+                x.pin_number = number;
+            }
+            if pinned.is_err() {
                 // No place to remember it by: where the key could go elsewhere it must not be sent.
                 if several {
                     return self.attempt_ended_unpinned(unsent(Code::ConnectFailed));
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -130,9 +130,17 @@
                 _ => {
                     let names = if old.is_some() { &mut replaced } else { &mut added };
                     names.push(plan.name.clone());
-                    old.into_iter().for_each(|id| self.leave_pool(id));
                     let seed = self.seed;
-                    ids.push(self.add_pool(plan, seed, now));
+                    let nodes = plan.nodes.clone();
+                    let id = self.add_pool(plan, seed, now);
+                    if let Some(old) = old {
+                        // The same nodes still drop the repeats of open keys: they go to the successor.
+                        if self.pools.get(old).is_some_and(|p| p.nodes.as_ref() == Some(&nodes)) {
+                            self.pins.rebind(old, id);
+                        }
+                        self.leave_pool(old);
+                    }
+                    ids.push(id);
                 }
             }
         }
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -155,6 +155,21 @@
     }
 }
 
+/// Guards against open keys being turned away because their pool was replaced by one with the same nodes.
+#[test]
+fn a_replaced_pool_with_the_same_nodes_takes_the_repeats_of_open_keys() {
+    let node = named("node");
+    let text = |attempts: u32| {
+        let pools = pool_with("p", &[node.address], &format!("attempts = {attempts}"));
+        [TOP.into(), pools, route("book", "book", "/", "pool = \"p\"")].concat()
+    };
+    let b = Operated::start(&text(2));
+    assert_eq!(body(&b.ask(&post("/x", "k1"))), "node");
+    b.reload(&text(3));
+    assert!(b.log().contains("pools_replaced: p"), "{}", b.log());
+    assert_eq!(body(&b.ask(&post("/x", "k1"))), "node");
+}
+
 #[test]
 fn a_dead_pool_is_left_for_the_next_and_nothing_is_lost() {
     let reserve = named("reserve");
