Let cold servers in by what their peers carry, and free of the charge for connecting

Checked: the lists reached every caller within 40 ms of each other, so nothing was learned late there; subsets were nearly the whole ring, so their movement is not it; no connect failed and nothing was Full, so connections are not short here. Change: the ramp's fraction of 0.7 of what a warm peer gets, by the bucket as before; a cold server without own calls is not charged for connecting.

--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -69,6 +69,8 @@
 const SUBSET_TIME: f64 = 3e6; // life: connections stay open, and each server is heard of again soon
 const ASK_PACE: i64 = 5_000; // discovery calls of all instances at boot are this far apart
 
+const COLD_PART: f64 = 0.7; // of a peer: peers 1.4 times full, a server half as fast: twice what it can
+
 const DOUBT_SHARE: usize = 6; // a list that calls more than one in so many gone is doubted, where it may be
 
 const TICK: u64 = 0; // timer token of the period; a held request's is 1
@@ -457,9 +459,11 @@
             // Where servers differ, what this call itself would book counts like what is booked already.
             let own = s.own + self.st.dec * self.st.gain * r.price * self.slowness(s) * s.luck;
             // Join an idle connection: its server has answered, and no own call waits there. Boards of
-            // own sends tell no more of a server than that. Harm: who errs at once looks idle.
+            // own sends tell no more of a server than that. Harm: who errs at once looks idle. A cold one
+            // has its bucket, and is free: charged, new servers were met by few or none of all callers.
             let away = if s.news.zone == self.set.zone { 0.0 } else { CROSSING * self.set.crossing_price };
-            let extra = if self.open(s) || (idle < OPEN_LEAST && !s.shut) { away } else { away + NEW_CONN };
+            let few = idle < OPEN_LEAST || (s.flights.is_empty() && s.news.since.is_some_and(cold));
+            let extra = if self.open(s) || (few && !s.shut) { away } else { away + NEW_CONN };
             let net = s.weight - own / self.st.cr - self.st.dec * extra;
             if best[rank].is_none_or(|(w, _): (f64, ServerId)| net > w) {
                 best[rank] = Some((net, s.news.server));
@@ -967,11 +971,11 @@
         }
     }
 
-    /// Slow start. A cold server gets the ramp's fraction of what a warm peer gets here, and of one core's
-    /// time over all instances, by a bucket that starts in debt by chance: all together keep the budget.
+    /// Slow start. A cold server gets the ramp's fraction of most of what a warm peer gets here, by a bucket
+    /// that starts in debt by chance: all together keep the budget. How much of a core a price is worth is
+    /// not known, so no core bounds it: where that did, new servers idled while the old ones drowned.
     fn slow_start(&mut self, ended: f64) {
-        let one_core = PERIOD.0 as f64 / f64::from(self.set.instances.max(1));
-        let rate = (self.st.raw / self.members.len().max(1) as f64).min(one_core);
+        let rate = COLD_PART * self.st.raw / self.members.len().max(1) as f64;
         let unit = self.st.cr / self.st.gain;
         let (now, ramp, share) = (self.now, self.set.ramp_time.0.max(1) as f64, self.set.cold_share);
         let window = self.set.tip_after.0 as f64 / PERIOD.0 as f64;
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -223,9 +223,9 @@
     }
 }
 
-#[test]
-fn a_cold_server_gets_a_ramped_share_even_from_many_alike() {
-    // 20 instances send 20 calls a second each to 10 servers, one of them just started: 40 ms of work a call.
+/// 20 instances send 20 calls a second each to 10 servers, one of them just started: 40 ms of work a call, times
+/// `heavier`. The sum of all must neither push it over nor leave it idle.
+fn many_meet_a_cold_server(heavier: i64) {
     let set = Settings { instances: 20, cold_share: 0.2, ..settings(Effect::Safe) };
     let (mut cold, mut warm) = (vec![0.0; 50], vec![0.0; 50]);
     for seed in 0..20 {
@@ -242,7 +242,7 @@
                 t.tell(Event::Timer(0));
             }
             let heavy = step % 10 == 9;
-            let work = if heavy { 220_000 } else { 20_000 };
+            let work = heavier * if heavy { 220_000 } else { 20_000 };
             if let Some(to) = t.ask(step, work) {
                 if step >= 500 {
                     let slot = (step - 500) as usize / 10;
@@ -260,8 +260,19 @@
         let w: f64 = warm[from..from + 6].iter().sum::<f64>() / 9.0;
         let share = 0.2 + 0.8 * (from as f64 / 20.0);
         assert!(c <= 3.0 * share * w, "window {from}: cold {c} of warm {w}, share {share}");
+        assert!(c >= 0.3 * share * w, "window {from}: cold {c} idles beside warm {w}, share {share}");
     }
-    assert!(cold.iter().sum::<f64>() > 0.0, "a cold server that gets nothing never warms up");
+}
+
+#[test]
+fn a_cold_server_gets_a_ramped_share_even_from_many_alike() {
+    many_meet_a_cold_server(1);
+}
+
+/// Guards against a ramp that is bounded by what a price is thought to be: servers of six calls' work at once.
+#[test]
+fn a_cold_server_ramps_with_its_peers_where_calls_are_heavy() {
+    many_meet_a_cold_server(4);
 }
 
 #[test]
--- a/crates/decisions/tests/four_rules.rs
+++ b/crates/decisions/tests/four_rules.rs
@@ -348,7 +348,7 @@
 #[test]
 fn random_legal_events_keep_the_rules() {
     let (mut answers, mut sends, mut turns, mut to_gone) = ([0; 3], 0, 0, 0);
-    for seed in 0..24 {
+    for seed in 0..28 {
         let mut world = World::new(seed, seed.is_multiple_of(3), seed % 4 < 2);
         let mut next = 0;
         for _ in 0..1_500 {
