Have GW_LOG=debug log every attempt and every request

Change: GW_LOG is info or debug, anything else is refused by name; debug lines tell where an attempt was sent, on which kind of connection, and how it ended. The level is looked at before a line is queued, not behind the queue. Measured: a test for both levels and the bad one.

--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -291,6 +291,8 @@
     pub site: Site,
     /// How long a connection to an upstream may take.
     pub dial_timeout: Option<Micros>,
+    /// Every attempt and every request gets a line in the log.
+    pub debug: bool,
 }
 
 #[derive(Deserialize)]
@@ -354,7 +356,13 @@
             return Err(format!("{path}: limits.memory_mb: {memory_mb} is too little, 16 at the least"));
         }
         let known = raw.known.unwrap_or(RawList { seq: 0, whole: true, hosts: Vec::new() });
+        let debug = match var("GW_LOG").as_deref() {
+            None | Some("" | "info") => false,
+            Some("debug") => true,
+            Some(other) => return Err(format!("GW_LOG: {other:?} is neither info nor debug")),
+        };
         Ok(Config {
+            debug,
             name: either("GW_NAME", "name", &raw.name)?,
             listen: address("GW_LISTEN", "listen", &raw.listen)?,
             discovery: address("GW_DISCOVERY", "discovery", &raw.discovery)?,
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -262,10 +262,9 @@
             _ => None,
         };
         let answered = over || passed.is_some() || (copy && matches!(ended.code, Code::Ok | Code::Rejected));
-        if ended.code != Code::Ok {
-            debug!(self.net.log, "attempt"; "request" => request.0, "ended" => ?ended.code,
-                "ms" => ended.latency.as_millis() as u64);
-        }
+        debug!(self.net.log, "ended"; "request" => request.0, "attempt" => attempt, "code" => ?ended.code,
+            "upstream" => ended.target.map_or("", |t| self.upstream_name(t)),
+            "ms" => ended.latency.as_secs_f64() * 1e3);
         let held = ended.answer.as_ref().and_then(|a| a.held);
         let (code, latency) = (ended.code, ended.latency);
         let report = Report::Ended { request, attempt, code, latency, held, answered };
@@ -478,7 +477,7 @@
         info!(self.net.log, "request"; "id" => &x.id,
             "listener" => x.listener.map_or("", |l| self.callers.listener_name(l)),
             "route" => x.route.as_ref().map_or("", |r| &r.route.name),
-            "class" => labels.map_or("", |l| &l.class),
+            "class" => labels.map_or("", |l| &l.class), "class_number" => x.ask.class.0,
             "tenant" => labels.and_then(|l| l.tenant.as_deref()).unwrap_or(""),
             "pool" => self.pool_name(x.pool),
             "upstream" => upstream.map_or("", |t| self.upstream_name(t)),
--- a/crates/serve/src/plan.rs
+++ b/crates/serve/src/plan.rs
@@ -113,7 +113,7 @@
             guide: Guide::Platform,
             requests: usize::MAX,
             pins: 0,
-            log_requests: LogRequests::None,
+            log_requests: if config.debug { LogRequests::All } else { LogRequests::None },
             reload: Reload::Platform(config.discovery_in_file),
         }
     }
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -7,7 +7,7 @@
 use garnettally_decisions::facade::{Code, RequestId, ServerId};
 use garnettally_routing::budget::{exceeds, HolderId, Share};
 use rustc_hash::FxHashMap;
-use slog::warn;
+use slog::{debug, warn};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::io::ErrorKind;
@@ -285,6 +285,8 @@
                 id
             }
         };
+        debug!(self.net.log, "sent"; "request" => attempt.0 .0, "attempt" => attempt.1,
+            "upstream" => self.upstream_name(to), "open" => self.upstreams.conns.get(&id).is_some_and(|c| c.open));
         self.upstreams.deadlines.push(Reverse((sent + timeout, attempt, false)));
         self.upstreams.flights.insert(attempt, id);
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -35,8 +35,9 @@
 where
     D: Drain<Ok = (), Err: std::fmt::Debug> + Send + 'static,
 {
-    // A line that can't be written is lost: there is nowhere left to say so.
-    let lines = LevelFilter::new(lines, level).ignore_res();
-    let lines = Async::new(lines).chan_size(queue).overflow_strategy(OverflowStrategy::DropAndReport);
-    Logger::root(lines.build().fuse(), o!())
+    // A line that can't be written is lost: there is nowhere left to say so. One below the level must not cost
+    // the event loop more than a look, so the filter stands before the queue.
+    let lines =
+        Async::new(lines.ignore_res()).chan_size(queue).overflow_strategy(OverflowStrategy::DropAndReport);
+    Logger::root(LevelFilter::new(lines.build(), level).fuse(), o!())
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -135,8 +135,10 @@
 
 fn serve_platform() -> Result<(), String> {
     let signals = signals()?;
-    let plan = Plan::platform(Config::from_environment()?);
-    let log = logging::text(plan.limits.log_lines, slog::Level::Debug);
+    let config = Config::from_environment()?;
+    let level = if config.debug { slog::Level::Debug } else { slog::Level::Info };
+    let plan = Plan::platform(config);
+    let log = logging::text(plan.limits.log_lines, level);
     garnettally_serve::serve(plan, log, signals)
 }
 
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -354,6 +354,34 @@
     }
 }
 
+/// A herd shows in the sum of all balancers' logs alone: each attempt and each request is told where that is asked.
+#[test]
+fn the_log_tells_every_attempt_where_that_is_asked() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let at = free_address();
+    let text = config(at, discovery.address, 1024, &[host("s1", up.address, 0, "SERVING")]);
+    for (level, told) in [("info", false), ("debug", true)] {
+        let log = config_file("");
+        let b = Balancer::spawn(at, &text, |command| {
+            let log = std::fs::File::options().append(true).open(&log).unwrap();
+            command.env("GW_LOG", level).stderr(log);
+        });
+        assert_eq!(b.client().ask(&look("1.2")).body, b"x");
+        let said = || std::fs::read_to_string(&log).unwrap();
+        if told {
+            until("the attempt in the log", || {
+                ["sent", "ended", "request"].iter().all(|m| said().contains(&format!(" {m}, ")))
+            });
+        } else {
+            assert!(!said().contains(" sent, "), "{}", said());
+        }
+    }
+    let mut odd = program(&text);
+    let output = odd.env("GW_LOG", "odd").stderr(std::process::Stdio::piped()).output().unwrap();
+    assert!(String::from_utf8_lossy(&output.stderr).contains("GW_LOG") && !output.status.success());
+}
+
 /// Guards against trying again what no upstream can use: each try cost the others' retries, and upstreams that
 /// said 400 were taken for failing ones and left out.
 #[test]
