Have the concurrency limit follow what the servers at hand carry

Wrong: `news` sets a pool's limit once, from the ready servers of that time, and nothing but time-outs, seconds late, brings it down when they go; the ejected and the cold count in full. Change: each period the limit is scaled by the servers that are ready and not ejected, cold ones by the part of their capacity that they are sure to have.

--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -666,6 +666,7 @@
             self.slow_start(ended);
         }
         self.eject(actions);
+        self.scale_limit();
         self.adapt_limit();
         self.turns.retain(|_, t| !t.queue.is_empty() || t.rest > now);
         for (tokens, quota) in self.quota.iter_mut().zip(&self.set.tenant_quota) {
@@ -713,6 +714,30 @@
         (size * (s.ratio * crowd).sqrt()).clamp(1.0 / SLOW_BOUND, SLOW_BOUND)
     }
 
+    /// The limit is that of the servers at hand and follows what they carry, cold and ejected ones less or
+    /// nothing. Where it stayed, callers of half the servers sent each twice what it was found to bear.
+    fn scale_limit(&mut self) {
+        let before: Vec<f64> = self.pools.iter_mut().map(|p| std::mem::take(&mut p.carry)).collect();
+        for s in self.ring.iter().map(|&(_, i)| &self.servers[i as usize]) {
+            if s.marks.first().is_none_or(|m| m.ejected_until.is_none()) {
+                self.pools[s.pool].carry += s.news.since.map_or(1.0, |t| self.warmth(t));
+            }
+        }
+        for (p, before) in self.pools.iter_mut().zip(before) {
+            if p.carry == 0.0 {
+                p.carry = before; // none is left to send to, and what comes back is no growth
+            } else if before > 0.0 {
+                p.limit *= p.carry / before;
+            }
+        }
+    }
+
+    /// The part of its capacity that a server is sure to have that started at this time.
+    fn warmth(&self, since: Micros) -> f64 {
+        let age = (self.now - since).0 as f64 / self.set.ramp_time.0.max(1) as f64;
+        self.set.cold_share + (1.0 - self.set.cold_share) * age.clamp(0.0, 1.0)
+    }
+
     /// Overload: the concurrency limit shrinks while served times take too much of the aim, and grows when it
     /// binds though they don't. Guards against crowding. It asks for time to the aim, not over the best time.
     fn adapt_limit(&mut self) {
@@ -977,13 +1002,12 @@
     fn slow_start(&mut self, ended: f64) {
         let rate = COLD_PART * self.st.raw / self.members.len().max(1) as f64;
         let unit = self.st.cr / self.st.gain;
-        let (now, ramp, share) = (self.now, self.set.ramp_time.0.max(1) as f64, self.set.cold_share);
         let window = self.set.tip_after.0 as f64 / PERIOD.0 as f64;
-        for &i in &self.members {
-            let s = &mut self.servers[i as usize];
-            let Some(since) = s.news.since else { continue };
-            let age = ((now - since).0 as f64 / ramp).clamp(0.0, 1.0);
-            let fill = (share + (1.0 - share) * age) * rate;
+        for at in 0..self.members.len() {
+            let i = self.members[at] as usize;
+            let Some(since) = self.servers[i].news.since else { continue };
+            let fill = self.warmth(since) * rate;
+            let s = &mut self.servers[i];
             s.bucket = (s.bucket + fill * ended).min((fill * window).max(unit));
         }
     }
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -298,6 +298,25 @@
     assert!(sent <= 8, "{sent} calls were let out to two crowded servers");
 }
 
+/// Guards against a limit that stays when most servers drain or are replaced by cold ones: those that stay got
+/// the calls of all, and tipped over.
+#[test]
+fn the_limit_follows_what_the_servers_at_hand_carry() {
+    let out = |stay: u32, cold: u32| {
+        let mut t = Bench::new(settings(Effect::Safe), 12);
+        t.periods(5);
+        let mut list: Vec<_> = (0..12).map(server).collect();
+        list.iter_mut().skip(stay as usize).for_each(|s| s.state = Listed::Draining);
+        list.extend((12..12 + cold).map(|id| ServerNews { since: Some(t.now), ..server(id) }));
+        t.tell(Event::List { form: Form::Full, entries: &list });
+        t.periods(1);
+        (0..300).filter(|&id| t.ask(id, 10_000).is_some()).count()
+    };
+    let (all, third, cold) = (out(12, 0), out(4, 0), out(4, 8));
+    assert!((30..200).contains(&all) && third * 5 < all * 2, "{third} were let out to a third, {all} to all");
+    assert!(cold * 3 < all * 2, "{cold} were let out where two thirds are cold, {all} to all");
+}
+
 #[test]
 fn held_requests_end_at_their_deadline_and_lists_fill_late() {
     let mut t = Bench::new(settings(Effect::Unsafe), 0);
