--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -84,6 +84,14 @@
     pub reload_wait: Duration,
     /// Log lines that may wait to be written; past them lines are dropped.
     pub log_lines: usize,
+    /// Connections to the admin address at once; a newer one closes the oldest. Their descriptors are kept apart
+    /// from `connections`.
+    pub admin_connections: usize,
+    /// An admin call is owed its answer within this of connecting (the operators' page: 1 s); then it gets 408.
+    pub admin_call: Duration,
+    /// After `PUT /healthcheck/fail`, connections between requests are closed from this on: the front stops
+    /// sending new ones 0.2 s after its first no, and asks every 0.1 s.
+    pub drain_idle: Duration,
 }
 
 /// What the limits of a process follow from.
@@ -96,6 +104,8 @@
     drain_keep: Duration,
     upstream_connect: Duration,
     upstream_idle: Duration,
+    /// An admin address is served.
+    admin: bool,
 }
 
 fn time(m: Micros) -> Duration {
@@ -117,6 +127,7 @@
             drain_keep: drain_answer.mul_f64(0.6),
             upstream_connect: config.dial_timeout.map_or(Duration::from_millis(250), time),
             upstream_idle: time(config.site.settings.idle_close) * 2 / 3,
+            admin: config.admin.is_some(),
         })
     }
 
@@ -135,11 +146,15 @@
             drain_keep: Duration::from_secs(2),
             upstream_connect: Duration::from_millis(250),
             upstream_idle: Duration::from_secs(40),
+            admin: false,
         })
     }
 
     fn from(basis: Basis) -> Limits {
-        let connections = connections(basis.sockets);
+        let admin_connections = if basis.admin { 8 } else { 0 };
+        // The admin listener and its connections come off what clients and upstreams may hold.
+        let connections =
+            connections(basis.sockets).saturating_sub(admin_connections + usize::from(basis.admin));
         Limits {
             resolution: basis.resolution,
             head_bytes: 16 << 10,
@@ -179,6 +194,9 @@
             reload_rest: Duration::from_millis(50),
             reload_wait: Duration::from_secs(2),
             log_lines: 1024,
+            admin_connections,
+            admin_call: Duration::from_millis(900),
+            drain_idle: Duration::from_secs(1),
         }
     }
 }
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -276,6 +276,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call (`GW_ADMIN_ADDR`, else `admin_addr`); `None`: nowhere.
+    pub admin: Option<SocketAddr>,
     /// Where the file alone says so: a change here is followed while the program runs, which no change of the
     /// environment can reach.
     pub discovery_in_file: Option<SocketAddr>,
@@ -303,6 +305,8 @@
     listen: Option<Cow<'a, str>>,
     #[serde(borrow, default)]
     discovery: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    admin_addr: Option<Cow<'a, str>>,
     #[serde(borrow)]
     seed: Cow<'a, str>,
     #[serde(default)]
@@ -361,8 +365,16 @@
             Some("debug") => true,
             Some(other) => return Err(format!("GW_LOG: {other:?} is neither info nor debug")),
         };
+        let admin = var("GW_ADMIN_ADDR").or_else(|| raw.admin_addr.as_deref().map(str::to_string));
+        let admin = match admin.filter(|a| !a.is_empty()) {
+            None => None,
+            Some(text) => Some(text.parse().map_err(|_| {
+                format!("GW_ADMIN_ADDR or admin_addr: {text:?} is not an address with a port")
+            })?),
+        };
         Ok(Config {
             debug,
+            admin,
             name: either("GW_NAME", "name", &raw.name)?,
             listen: address("GW_LISTEN", "listen", &raw.listen)?,
             discovery: address("GW_DISCOVERY", "discovery", &raw.discovery)?,
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -79,10 +79,12 @@
     unread: Vec<ConnId>,
 }
 
-/// Binds an address and begins to listen; nothing is accepted before [`Callers::add`] has it watched.
-pub fn bind(net: &Net, address: SocketAddr) -> io::Result<TcpListener> {
+/// Binds an address and begins to listen; nothing is accepted before [`Callers::add`] has it watched. With
+/// `shared`, a second process that replaces this one may listen on the same address beside it (SO_REUSEPORT).
+pub fn bind(net: &Net, address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?; // a restart must not wait for the old connections
+    socket.set_reuse_port(shared)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(net.limits.backlog)?;
@@ -493,6 +495,7 @@
     /// Writes an answer; then the connection closes, or takes its next request.
     fn write_answer(&mut self, id: ConnId, answer: &Outgoing<'_>) {
         let closing = self.shutdown.closing()
+            || self.admin.draining()
             || self.callers.conns.get(&id).is_some_and(|conn| self.callers.left(conn));
         let Some(conn) = self.callers.conns.get_mut(&id) else { return };
         conn.close |= closing;
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -75,6 +75,11 @@
         !self.ids.is_empty()
     }
 
+    /// Requests taken whose answer is still owed.
+    pub fn pending(&self) -> usize {
+        self.ids.len()
+    }
+
     fn number(&mut self) -> RequestId {
         self.next += 1;
         RequestId(self.next)
@@ -94,7 +99,7 @@
 impl Proxy {
     /// Whether a request could be served.
     pub fn ready(&self) -> bool {
-        self.pools.iter().any(|p| p.ready && !p.leaving) && !self.shutdown.closing()
+        self.pools.iter().any(|p| p.ready && !p.leaving) && !self.shutdown.closing() && !self.admin.draining()
     }
 
     /// Takes a request, or says why it can't be taken.
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Proxy`] is the state that the event loop hands to each of them.
 #![forbid(unsafe_code)]
 
+mod admin;
 mod admission;
 mod callers;
 mod discovery;
@@ -83,6 +84,7 @@
     log_requests: LogRequests,
     reload: reload::Reloads,
     shutdown: shutdown::Shutdown,
+    admin: admin::Admin,
     next_sweep: Instant,
 }
 
@@ -198,7 +200,7 @@
     let mut listening = callers::Callers::default();
     for listener in plan.listeners {
         let (name, address) = (listener.name.clone(), listener.address);
-        let bound = callers::bind(&net, address);
+        let bound = callers::bind(&net, address, true);
         let added = bound.and_then(|bound| {
             // With port 0 the system chooses one, which only this line tells.
             let address = bound.local_addr()?;
@@ -221,9 +223,16 @@
         log_requests: plan.log_requests,
         reload: reload::Reloads::new(plan.reload),
         shutdown: shutdown::Shutdown::default(),
+        admin: admin::Admin::default(),
         next_sweep: now,
         net,
     };
+    if let Some(address) = plan.admin {
+        proxy
+            .admin
+            .listen(&proxy.net, address)
+            .map_err(|e| format!("can't listen on {address} (admin): {e}"))?;
+    }
     let pools = plan.pools.into_iter().map(|pool| proxy.add_pool(pool, plan.seed, now)).collect();
     if let Guide::Routes(operator) = plan.guide {
         proxy.put_in_force(*operator, pools);
@@ -240,6 +249,7 @@
         events.dispatch(wait, &mut proxy).map_err(|e| format!("event loop: {e}"))?;
         proxy.turn(Instant::now());
     }
+    proxy.admin.stop(&proxy.net);
     info!(proxy.net.log, "nothing is owed any more");
     Ok(())
 }
@@ -250,6 +260,7 @@
         self.expire_attempts(now);
         self.tend_sources(now);
         self.continue_reload(now);
+        self.admin.sweep(&self.net, now);
         if now >= self.next_sweep {
             self.next_sweep = now + self.net.limits.sweep;
             self.sweep_callers(now);
@@ -276,6 +287,8 @@
             self.reload.next_wake(),
             self.callers.resume_at(),
             self.shutdown.next_wake(),
+            self.admin.next_wake(&self.net),
+            self.admin.failed_at.map(|at| at + self.net.limits.drain_idle),
             self.next_consultation(),
         ];
         wakes.into_iter().flatten().min()
--- a/crates/serve/src/plan.rs
+++ b/crates/serve/src/plan.rs
@@ -33,6 +33,8 @@
     pub log_requests: LogRequests,
     /// What SIGHUP reads again.
     pub reload: Reload,
+    /// Where operators call.
+    pub admin: Option<SocketAddr>,
 }
 
 /// How a request finds its class and pool.
@@ -115,6 +117,7 @@
             pins: 0,
             log_requests: if config.debug { LogRequests::All } else { LogRequests::None },
             reload: Reload::Platform(config.discovery_in_file),
+            admin: config.admin,
         }
     }
 
@@ -131,6 +134,7 @@
             log_requests: operator.logging.requests,
             guide: Guide::Routes(Box::new(operator)),
             reload: Reload::File(path),
+            admin: None,
         }
     }
 }
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -106,7 +106,7 @@
             self.callers.listening().map(|(id, name, address)| (id, name.to_string(), address)).collect();
         for l in &operator.listeners {
             if !listening.iter().any(|(_, name, address)| *name == l.name && *address == l.address) {
-                let socket = callers::bind(&self.net, l.address).map_err(|e| {
+                let socket = callers::bind(&self.net, l.address, true).map_err(|e| {
                     format!("listeners.{}.address: can't listen on {}: {e}", l.name, l.address)
                 })?;
                 bound.insert(l.name.clone(), socket);
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -53,7 +53,7 @@
         if !self.shutdown.closing && self.shutdown.keep_until.is_some_and(|at| at <= now) {
             self.shutdown.closing = true;
         }
-        if self.shutdown.closing {
+        if self.shutdown.closing || self.admin.close_idle(&self.net, now) {
             while self.close_idle_caller() {}
         }
         if self.shutdown.closing
--- /dev/null
+++ b/tests/admin.rs
@@ -0,0 +1,93 @@
+//! The admin address: operators' calls beside clients, the drain they drive, and a second process beside the
+//! first on the same client address.
+
+mod support;
+
+use std::net::{SocketAddr, TcpStream};
+use std::time::Instant;
+use support::*;
+
+/// A balancer with an admin address of its own.
+fn with_admin(discovery: &Discovery, known: &[String]) -> (Balancer, SocketAddr) {
+    let (address, admin) = (free_address(), free_address());
+    let text = config(address, discovery.address, 256, known);
+    let b = Balancer::spawn(address, &text, |c| {
+        c.env("GW_ADMIN_ADDR", admin.to_string());
+    });
+    (b, admin)
+}
+
+fn call(admin: SocketAddr, method: &str, path: &str) -> Message {
+    let mut c = Client::connect(admin).expect("the admin address listens");
+    c.ask(&format!("{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n"))
+}
+
+/// Guards against a drain that closes the listener, resets kept connections, or never ends.
+#[test]
+fn a_drain_says_no_closes_between_requests_and_ends_on_ok() {
+    let up = Upstream::start(|_| ok("done"));
+    let discovery = Discovery::start();
+    let (b, admin) = with_admin(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    assert_eq!(call(admin, "GET", "/healthcheck").status(), 200);
+    let mut kept = b.client();
+    assert_eq!(kept.ask(&look("1.2")).status(), 200);
+    assert_eq!(call(admin, "PUT", "/healthcheck/fail").status(), 200);
+    assert_eq!(b.ask(READY).status(), 503);
+    assert_eq!(call(admin, "GET", "/healthcheck").status(), 503);
+    // The kept connection is still served, and told to close with its answer.
+    let answer = kept.ask(&look("1.2"));
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(kept.answer().is_none(), "the connection ends after its answer");
+    // An idle connection is closed by the balancer, not held.
+    let mut idle = b.client();
+    assert_eq!(idle.ask(&look("1.2")).status(), 200);
+    let mut idle = b.client();
+    until("the idle connection's end", || idle.answer().is_none());
+    assert_eq!(call(admin, "PUT", "/healthcheck/ok").status(), 200);
+    until("readiness again", || b.ask(READY).status() == 200);
+    assert_eq!(call(admin, "GET", "/healthcheck").status(), 200);
+    assert_eq!(call(admin, "GET", "/nothing").status(), 404);
+    assert_eq!(call(admin, "DELETE", "/stats").status(), 405);
+}
+
+/// Guards against operators starved by callers that hold admin connections with no whole call.
+#[test]
+fn calls_are_answered_beside_callers_that_never_finish() {
+    let up = Upstream::start(|_| ok("done"));
+    let discovery = Discovery::start();
+    let (_b, admin) = with_admin(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let holders: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(admin).unwrap()).collect();
+    for _ in 0..5 {
+        let asked = Instant::now();
+        let stats = call(admin, "GET", "/stats");
+        assert_eq!(stats.status(), 200);
+        let text = String::from_utf8_lossy(&stats.body).to_string();
+        assert!(text.lines().any(|l| l.starts_with("edge_gw.pending:") && l.ends_with("|g")), "{text}");
+        // Generous, as a bound against a call that waits behind the holders' deadlines.
+        assert!(asked.elapsed().as_secs_f64() < 5.0);
+    }
+    drop(holders);
+}
+
+/// Guards against a replacement that can't start: the second process binds the same client address.
+#[test]
+fn a_second_process_listens_on_the_same_client_address() {
+    let up = Upstream::start(|_| ok("done"));
+    let discovery = Discovery::start();
+    let known = [host("s", up.address, 0, "SERVING")];
+    let (first, _) = with_admin(&discovery, &known);
+    let admin = free_address();
+    let text = config(first.address, discovery.address, 256, &known);
+    let mut second = program(&text);
+    second.env("GW_ADMIN_ADDR", admin.to_string());
+    let mut second = second.spawn().unwrap();
+    until("the second one's yes", || {
+        Client::connect(admin).is_some() && call(admin, "GET", "/healthcheck").status() == 200
+    });
+    assert!(second.try_wait().unwrap().is_none(), "the second process runs");
+    for _ in 0..20 {
+        assert_eq!(first.ask(&look("1.2")).status(), 200);
+    }
+    let _ = second.kill();
+    let _ = second.wait();
+}
