Count requests by class and outcome, attempts, members and reloads for /stats

Counted where the final answer is given (finish and a passed answer in exchange.rs), where an attempt's last byte is written (upstreams.rs), and where a reload is taken or refused (reload.rs); members from the pools' health marks. A request counts under the class it was taken with.

--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -31,6 +31,11 @@
         Names { classes, tenants, zones, kinds, ..Names::default() }
     }
 
+    /// The names of the classes, in the order of their numbers.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
     /// The class of this name.
     pub fn class(&self, name: &str) -> Option<ClassId> {
         self.classes.iter().position(|c| c == name).map(|at| ClassId(at as u32))
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -70,9 +70,18 @@
 
     /// Of the nodes listed, the part that is ready and not marked as down; 0 without any.
     pub fn healthy_share(&self, now: Micros) -> f64 {
+        self.well(now) as f64 / self.listed.len().max(1) as f64
+    }
+
+    /// The nodes listed, and those of them that are draining or marked as down.
+    pub fn members(&self, now: Micros) -> (usize, usize) {
+        (self.listed.len(), self.listed.len() - self.well(now))
+    }
+
+    fn well(&self, now: Micros) -> usize {
         let well =
             |(ready, mark): &&(bool, Mark)| *ready && (mark.failures < FAILURES || now - mark.at > MEMORY);
-        self.listed.values().filter(well).count() as f64 / self.listed.len().max(1) as f64
+        self.listed.values().filter(well).count()
     }
 }
 
--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -3,6 +3,7 @@
 //! their own, so that no crowd of clients, nor callers that never finish a call, can starve it.
 
 use crate::http::{write_answer, Outgoing};
+use crate::stats::Gauges;
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
@@ -271,9 +272,15 @@
 
 impl Proxy {
     /// The figures, one statsd line each (docs/stats.md).
-    fn stats_text(&self, _now: Instant) -> String {
-        let pending = self.exchanges.pending();
-        format!("edge_gw.pending:{pending}|g\n")
+    fn stats_text(&self, now: Instant) -> String {
+        let at = self.net.clock.at(now);
+        let mut gauges = Gauges { pending: self.exchanges.pending(), ..Gauges::default() };
+        for pool in self.pools.iter().filter(|p| !p.leaving) {
+            let (members, unavailable) = pool.health.members(at);
+            gauges.members += members;
+            gauges.members_unavailable += unavailable;
+        }
+        self.stats.render(gauges)
     }
 }
 
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -100,6 +100,8 @@
     pub mirror: Option<PoolId>,
     /// The names of class and tenant, for the log.
     pub labels: Option<Labels>,
+    /// The class's name, for the figures: open requests keep it across a reload.
+    pub class_name: Rc<str>,
 }
 
 /// Names for the log.
@@ -145,6 +147,7 @@
             pin: None,
             mirror: None,
             labels: None,
+            class_name: call.class.into(),
         })
     }
 
@@ -251,6 +254,7 @@
                 .map(|m| place(m.pool)),
             id,
             pin,
+            class_name: class.as_str().into(),
             labels,
             route: Some(in_force.clone()),
         })
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -5,6 +5,7 @@
 use crate::http::{Answer, Bad, Request};
 use crate::lease::Lease;
 use crate::pools::PoolId;
+use crate::stats::Outcome;
 use crate::upstreams::{Ended, Target};
 use crate::{ConnId, Proxy};
 use garnettally_config::file::format::LogRequests;
@@ -49,6 +50,7 @@
     listener: Option<ListenerId>,
     route: Option<Rc<RouteInForce>>,
     labels: Option<Labels>,
+    class_name: Rc<str>,
     taken: Instant,
     /// Attempts in the pools before.
     sends_before: u32,
@@ -113,6 +115,11 @@
         match self.place(listener, &mut request, now) {
             Ok((a, lease)) => Ok(self.enter(a, lease, caller, listener, request, now)),
             Err(unfit) => {
+                if let Unfit::Refused { route: Some(r), .. } = &unfit {
+                    if let Some(class) = self.version.as_ref().map(|v| v.class(r.route.class).to_string()) {
+                        self.stats.ended(&class, Outcome::Rejected);
+                    }
+                }
                 self.log_unfit(listener, &request, &unfit);
                 Err(unfit)
             }
@@ -192,6 +199,7 @@
             listener,
             route: a.route,
             labels: a.labels,
+            class_name: a.class_name,
             taken: now,
             sends_before: 0,
         };
@@ -227,6 +235,7 @@
             pin: None,
             mirror: None,
             labels: None,
+            class_name: a.class_name.clone(),
         };
         self.begin(copy, None, None, request.clone(), lease, now);
     }
@@ -275,6 +284,9 @@
         let report = Report::Ended { request, attempt, code, latency, held, answered };
         self.queue_for(request, report);
         if let (Some(caller), Some(answer)) = (passed, ended.answer) {
+            if let Some(x) = self.exchanges.open.get(&request) {
+                self.stats.ended(&x.class_name, Outcome::Completed);
+            }
             let outcome = if code == Code::Ok { "served" } else { "rejected" };
             self.log_request(request, outcome, Some(answer.status), ended.target);
             self.answer_caller(caller, Final::Passed(&answer));
@@ -435,9 +447,15 @@
     /// The module's final answer, if the request has had none.
     fn finish(&mut self, request: RequestId, answer: Final<'_>) {
         let Some(x) = self.exchanges.open.get(&request).filter(|x| !x.over) else { return };
-        let copy = x.caller.is_none();
+        let (copy, class) = (x.caller.is_none(), x.class_name.clone());
         let caller = self.exchanges.conclude(request);
         if !copy {
+            let counted = match &answer {
+                Final::Passed(_) => Outcome::Completed,
+                Final::Refused { .. } => Outcome::Rejected,
+                Final::Failed => Outcome::Failed,
+            };
+            self.stats.ended(&class, counted);
             let (outcome, status) = match &answer {
                 Final::Passed(a) => ("served", a.status),
                 Final::Refused { .. } => ("refused", 503),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -19,6 +19,7 @@
 mod reload;
 mod shutdown;
 mod source;
+mod stats;
 mod upstreams;
 
 use calloop::generic::Generic;
@@ -85,6 +86,7 @@
     reload: reload::Reloads,
     shutdown: shutdown::Shutdown,
     admin: admin::Admin,
+    stats: stats::Stats,
     next_sweep: Instant,
 }
 
@@ -224,6 +226,7 @@
         reload: reload::Reloads::new(plan.reload),
         shutdown: shutdown::Shutdown::default(),
         admin: admin::Admin::default(),
+        stats: stats::Stats::default(),
         next_sweep: now,
         net,
     };
@@ -233,6 +236,9 @@
             .listen(&proxy.net, address)
             .map_err(|e| format!("can't listen on {address} (admin): {e}"))?;
     }
+    for pool in &plan.pools {
+        pool.site.names.classes().iter().for_each(|c| proxy.stats.know_class(c));
+    }
     let pools = plan.pools.into_iter().map(|pool| proxy.add_pool(pool, plan.seed, now)).collect();
     if let Guide::Routes(operator) = plan.guide {
         proxy.put_in_force(*operator, pools);
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -61,8 +61,12 @@
     fn reload_platform(&mut self, before: Option<SocketAddr>) {
         let config = match Config::from_environment() {
             Ok(config) => config,
-            Err(e) => return error!(self.net.log, "the new configuration is not used"; "error" => e),
+            Err(e) => {
+                self.stats.reloaded(false);
+                return error!(self.net.log, "the new configuration is not used"; "error" => e);
+            }
         };
+        self.stats.reloaded(true);
         info!(self.net.log, "configuration read again; all but discovery waits for a restart");
         // `GW_DISCOVERY` was given for the file of that time: a change in the file is the later word.
         if let Some(address) = config.discovery_in_file.filter(|_| config.discovery_in_file != before) {
@@ -85,6 +89,7 @@
                 return;
             }
             self.reload.waits = None;
+            self.stats.reloaded(false);
             return error!(self.net.log, "the new version is refused: its file does not stop changing"; "file" => path);
         }
         self.reload.waits = None;
@@ -92,6 +97,7 @@
             Ok(operator) => self.apply(operator, now).err(),
             Err(problems) => Some(problems.to_string()),
         };
+        self.stats.reloaded(refused.is_none());
         if let Some(problems) = refused {
             error!(self.net.log, "the new version is refused, and the one before it stays in force";
                 "version" => self.reload.versions, "file" => path, "problems" => problems);
--- /dev/null
+++ b/crates/serve/src/stats.rs
@@ -0,0 +1,164 @@
+//! The figures that operators fetch from `/stats` (docs/stats.md): one registry, owned by the network side, counted
+//! from 0 in each process, written as statsd lines. It decides nothing and does no I/O.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// Classes counted by name; names past this are counted under `other`, so that no caller can grow the registry.
+const MOST_CLASSES: usize = 256;
+
+/// How a request that was taken ended, as `/stats` counts it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It had an answer that was passed on: `completed`.
+    Completed,
+    /// It was refused, with `Retry-After`: `rejected`.
+    Rejected,
+    /// It failed: `failed`.
+    Failed,
+}
+
+#[derive(Clone, Copy, Default)]
+struct Outcomes {
+    completed: u64,
+    rejected: u64,
+    failed: u64,
+}
+
+/// What is known at the time of a fetch, rather than counted.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gauges {
+    /// Requests taken whose answer is still owed.
+    pub pending: usize,
+    /// Upstreams in the lists.
+    pub members: usize,
+    /// Of those, the ones that are avoided now: draining, or marked down.
+    pub members_unavailable: usize,
+}
+
+/// The counters of one process.
+#[derive(Default)]
+pub struct Stats {
+    classes: BTreeMap<String, Outcomes>,
+    upstream_requests: u64,
+    config_reloads: u64,
+    config_reload_errors: u64,
+}
+
+/// A class's name as a statsd path part: what would end or split a line is left out.
+fn part(name: &str) -> String {
+    let clean: String = name
+        .chars()
+        .map(|c| if c.is_ascii_alphanumeric() || c == '_' || c == '-' { c } else { '_' })
+        .collect();
+    if clean.is_empty() {
+        "_".into()
+    } else {
+        clean
+    }
+}
+
+impl Stats {
+    /// A class is known from the start, so that its counters read 0 before its first request.
+    pub fn know_class(&mut self, class: &str) {
+        if self.classes.len() < MOST_CLASSES {
+            self.classes.entry(part(class)).or_default();
+        }
+    }
+
+    /// A request of this class has had its final answer.
+    pub fn ended(&mut self, class: &str, outcome: Outcome) {
+        let name = part(class);
+        let name = if self.classes.contains_key(&name) || self.classes.len() < MOST_CLASSES {
+            name
+        } else {
+            "other".into()
+        };
+        let counts = self.classes.entry(name).or_default();
+        match outcome {
+            Outcome::Completed => counts.completed += 1,
+            Outcome::Rejected => counts.rejected += 1,
+            Outcome::Failed => counts.failed += 1,
+        }
+    }
+
+    /// An attempt has been written whole to an upstream.
+    pub fn attempt_written(&mut self) {
+        self.upstream_requests += 1;
+    }
+
+    /// A file was read at SIGHUP: taken, or turned down.
+    pub fn reloaded(&mut self, taken: bool) {
+        match taken {
+            true => self.config_reloads += 1,
+            false => self.config_reload_errors += 1,
+        }
+    }
+
+    /// The lines of a fetch.
+    pub fn render(&self, gauges: Gauges) -> String {
+        let mut out = String::with_capacity(64 * (self.classes.len() * 3 + 6));
+        for (class, c) in &self.classes {
+            for (what, n) in [("completed", c.completed), ("rejected", c.rejected), ("failed", c.failed)] {
+                let _ = writeln!(out, "edge_gw.downstream_requests.{class}.{what}:{n}|c");
+            }
+        }
+        let _ = writeln!(out, "edge_gw.upstream_requests:{}|c", self.upstream_requests);
+        let _ = writeln!(out, "edge_gw.pending:{}|g", gauges.pending);
+        let _ = writeln!(out, "edge_gw.members:{}|g", gauges.members);
+        let _ = writeln!(out, "edge_gw.members_unavailable:{}|g", gauges.members_unavailable);
+        let _ = writeln!(out, "edge_gw.config_reloads:{}|c", self.config_reloads);
+        let _ = writeln!(out, "edge_gw.config_reload_errors:{}|c", self.config_reload_errors);
+        out
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn value(text: &str, name: &str) -> Option<u64> {
+        let line = text.lines().find(|l| l.split(':').next() == Some(name))?;
+        line.split(':').nth(1)?.split('|').next()?.parse().ok()
+    }
+
+    #[test]
+    fn outcomes_are_counted_by_class_and_known_classes_read_zero() {
+        let mut s = Stats::default();
+        s.know_class("look");
+        s.know_class("book");
+        for _ in 0..3 {
+            s.ended("look", Outcome::Completed);
+        }
+        s.ended("book", Outcome::Rejected);
+        s.ended("book", Outcome::Failed);
+        s.attempt_written();
+        s.reloaded(true);
+        s.reloaded(false);
+        s.reloaded(false);
+        let text = s.render(Gauges { pending: 4, members: 9, members_unavailable: 2 });
+        assert_eq!(value(&text, "edge_gw.downstream_requests.look.completed"), Some(3));
+        assert_eq!(value(&text, "edge_gw.downstream_requests.look.failed"), Some(0));
+        assert_eq!(value(&text, "edge_gw.downstream_requests.book.rejected"), Some(1));
+        assert_eq!(value(&text, "edge_gw.downstream_requests.book.failed"), Some(1));
+        assert_eq!(value(&text, "edge_gw.upstream_requests"), Some(1));
+        assert_eq!(value(&text, "edge_gw.pending"), Some(4));
+        assert_eq!(value(&text, "edge_gw.members_unavailable"), Some(2));
+        assert_eq!(value(&text, "edge_gw.config_reload_errors"), Some(2));
+    }
+
+    /// Guards against a registry that callers grow without bound, and lines that a name could split.
+    #[test]
+    fn names_are_bounded_and_kept_to_one_line() {
+        let mut s = Stats::default();
+        s.ended("a.b:c|d\ne", Outcome::Failed);
+        for n in 0..10_000 {
+            s.ended(&format!("c{n}"), Outcome::Completed);
+        }
+        let text = s.render(Gauges::default());
+        assert_eq!(value(&text, "edge_gw.downstream_requests.a_b_c_d_e.failed"), Some(1));
+        assert!(text.lines().count() <= MOST_CLASSES * 3 + 3 + 6, "{}", text.lines().count());
+        assert!(value(&text, "edge_gw.downstream_requests.other.completed").unwrap() > 9_000);
+        assert!(text.lines().all(|l| l.matches(':').count() == 1 && l.matches('|').count() == 1), "{text}");
+    }
+}
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -314,7 +314,12 @@
             }
             conn.open = true;
         }
+        let before = conn.written;
         let wrote = crate::write(&conn.socket.stream, &conn.output, &mut conn.written);
+        if conn.flight.is_some() && before < conn.output.len() && conn.written == conn.output.len() {
+            self.stats.attempt_written();
+        }
+        let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
         let most = self.net.limits.answer_bytes;
         let reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
         if conn.flight.is_none() {
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -91,3 +91,31 @@
     let _ = second.kill();
     let _ = second.wait();
 }
+
+fn figure(text: &str, name: &str) -> Option<u64> {
+    let line = text.lines().find(|l| l.split(':').next() == Some(name))?;
+    line.split(':').nth(1)?.split('|').next()?.parse().ok()
+}
+
+/// Guards against figures that are missing, or counted in the wrong place: each answer once, under its class.
+#[test]
+fn the_figures_count_what_clients_and_upstreams_saw() {
+    let up = Upstream::start(|_| ok("done"));
+    let discovery = Discovery::start();
+    let (b, admin) = with_admin(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let mut client = b.client();
+    for _ in 0..7 {
+        assert_eq!(client.ask(&look("1.2")).status(), 200);
+    }
+    let text = String::from_utf8_lossy(&call(admin, "GET", "/stats").body).to_string();
+    assert_eq!(figure(&text, "edge_gw.downstream_requests.look.completed"), Some(7), "{text}");
+    assert_eq!(figure(&text, "edge_gw.downstream_requests.look.failed"), Some(0), "{text}");
+    assert_eq!(figure(&text, "edge_gw.upstream_requests"), Some(up.count() as u64), "{text}");
+    assert_eq!(figure(&text, "edge_gw.pending"), Some(0), "{text}");
+    assert_eq!(figure(&text, "edge_gw.members"), Some(1), "{text}");
+    b.signal("HUP");
+    until("the reload counted", || {
+        let text = String::from_utf8_lossy(&call(admin, "GET", "/stats").body).to_string();
+        figure(&text, "edge_gw.config_reloads") == Some(1)
+    });
+}
