Log why an upstream's answer was not understood, with its size

Change: the line names the cause (longer than an answer may be, malformed, answers together hold too much) and the bytes held; the codec keeps 413 for a body over the limit instead of folding it into 502.

--- a/crates/serve/src/http.rs
+++ b/crates/serve/src/http.rs
@@ -225,8 +225,8 @@
             (false, Some(n)) => Framing::Length(n),
             (false, None) => Framing::Close,
         };
-        let whole =
-            body(&buf[at..], framing, ended, limits.answer_body_bytes, limits).map_err(|_| Bad(502))?;
+        let whole = body(&buf[at..], framing, ended, limits.answer_body_bytes, limits)
+            .map_err(|Bad(s)| Bad(if s == 413 { 413 } else { 502 }))?;
         let Some((body, used)) = whole else {
             return if ended { Err(Bad(502)) } else { Ok(None) };
         };
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -335,14 +335,22 @@
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
         if !conn.input.is_empty() {
             let head = conn.flight.as_ref().is_some_and(|f| f.head);
-            match http::answer(&conn.input, reading == Reading::Ended, head, &self.net.limits) {
+            let parsed = http::answer(&conn.input, reading == Reading::Ended, head, &self.net.limits);
+            match parsed {
                 Ok(Some(answer)) => return self.answered(id, answer, reading == Reading::Open),
                 Ok(None) if conn.input.len() <= most && !crowded => {}
                 _ if reading == Reading::Broken => {}
                 _ => {
-                    let upstream = conn.upstream;
+                    let why = match parsed {
+                        Err(http::Bad(413)) => "longer than an answer may be",
+                        Err(_) => "malformed",
+                        _ if crowded => "answers together hold too much",
+                        _ => "longer than an answer may be",
+                    };
+                    let (upstream, bytes) = (conn.upstream, conn.input.len());
                     let name = self.upstream_name(upstream);
-                    warn!(self.net.log, "an upstream's answer was not understood"; "upstream" => name);
+                    warn!(self.net.log, "an upstream's answer was not understood"; "upstream" => name, "why" => why,
+                        "bytes" => bytes);
                     return self.upstream_broken(id);
                 }
             }
