--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -186,6 +186,9 @@
     if f.n_instances == 0 {
         return wrong("NInstances".into(), "must be 1 or more");
     }
+    if f.limits.send_cap == Some(0) {
+        return wrong("Limits.SendCap".into(), "must be 1 or more");
+    }
     if f.resolution_us.is_some_and(|r| r < 0) {
         return wrong("ResolutionUs".into(), "must not be negative");
     }
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -125,7 +125,11 @@
 
     fn admit_by_protocol(&self, request: &Request) -> Result<Admitted, Bad> {
         let call = http::call(request)?;
-        let pool = self.pools.iter().next().ok_or(Bad(404))?;
+        // The newest settings that know the class, served by a pool that is ready; before a new pool has its list,
+        // the one of the settings before serves what it knows.
+        let knows = |p: &&crate::pools::Pool| !p.leaving && p.decisions.class(call.class).is_some();
+        let newest_ready = self.pools.iter().filter(knows).filter(|p| p.ready).last();
+        let pool = newest_ready.or_else(|| self.pools.iter().filter(knows).last()).ok_or(Bad(404))?;
         let (class, effect) = pool.decisions.class(call.class).ok_or(Bad(404))?;
         match effect {
             Effect::Safe if !call.read_only => return Err(Bad(405)),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -239,6 +239,9 @@
     for pool in &plan.pools {
         pool.site.names.classes().iter().for_each(|c| proxy.stats.know_class(c));
     }
+    if let (Guide::Platform, Some(pool)) = (&plan.guide, plan.pools.first()) {
+        proxy.reload.settings = Some(reload::fingerprint(&pool.site));
+    }
     let pools = plan.pools.into_iter().map(|pool| proxy.add_pool(pool, plan.seed, now)).collect();
     if let Guide::Routes(operator) = plan.guide {
         proxy.put_in_force(*operator, pools);
@@ -266,6 +269,7 @@
         self.expire_attempts(now);
         self.tend_sources(now);
         self.continue_reload(now);
+        self.finish_retune(false);
         self.admin.sweep(&self.net, now);
         if now >= self.next_sweep {
             self.next_sweep = now + self.net.limits.sweep;
--- a/crates/serve/src/plan.rs
+++ b/crates/serve/src/plan.rs
@@ -82,22 +82,14 @@
 }
 
 impl Plan {
-    /// The platform's: one listener, one pool.
-    pub fn platform(config: Config) -> Plan {
-        let limits = Limits::new(&config);
-        let listener = Listener {
-            name: "clients".into(),
-            address: config.listen,
-            connections: Share::default(),
-            requests: Share::default(),
-            memory: Share::default(),
-        };
-        let pool = PoolPlan {
+    /// The platform's one pool, by this configuration.
+    pub fn platform_pool(config: &Config, limits: &Limits) -> PoolPlan {
+        PoolPlan {
             name: "upstreams".into(),
-            site: config.site,
+            site: config.site.clone(),
             basis: None,
             nodes: Nodes::Watch(config.discovery),
-            known: Some(config.known),
+            known: Some(config.known.clone()),
             connect: limits.upstream_connect,
             keep: limits.upstream_idle,
             requests: Share::default(),
@@ -105,7 +97,20 @@
             memory: Share::default(),
             failover: Rules::default(),
             any_success: false,
+        }
+    }
+
+    /// The platform's: one listener, one pool.
+    pub fn platform(config: Config) -> Plan {
+        let limits = Limits::new(&config);
+        let listener = Listener {
+            name: "clients".into(),
+            address: config.listen,
+            connections: Share::default(),
+            requests: Share::default(),
+            memory: Share::default(),
         };
+        let pool = Plan::platform_pool(&config, &limits);
         Plan {
             name: config.name,
             seed: config.seed,
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -23,13 +23,17 @@
 pub struct Reloads {
     from: Reload,
     versions: u64,
+    /// The platform's settings in force, as [`fingerprint`] writes them.
+    pub settings: Option<String>,
+    /// Pools of the settings before and after a change, until the new one is ready, and when it is at the latest.
+    retiring: Option<(PoolId, PoolId, Instant)>,
     /// A reload that waits for its file to rest, and when it is given up.
     waits: Option<(Instant, Instant)>,
 }
 
 impl Reloads {
     pub fn new(from: Reload) -> Reloads {
-        Reloads { from, versions: 0, waits: None }
+        Reloads { from, versions: 0, waits: None, settings: None, retiring: None }
     }
 
     /// When a waiting reload looks at its file again.
@@ -38,6 +42,11 @@
     }
 }
 
+/// The platform's settings as one text, to tell a change from a SIGHUP that changes nothing.
+pub fn fingerprint(site: &garnettally_model::Site) -> String {
+    format!("{:?} {:?}", site.settings, site.names.classes())
+}
+
 /// How long ago a file was written; `None`: it can't be told.
 fn age(path: &str) -> Option<Duration> {
     let modified = std::fs::metadata(path).and_then(|m| m.modified()).ok()?;
@@ -67,7 +76,8 @@
             }
         };
         self.stats.reloaded(true);
-        info!(self.net.log, "configuration read again; all but discovery waits for a restart");
+        self.retune_platform(&config);
+        info!(self.net.log, "configuration read again; its settings are in force, limits wait for a restart");
         // `GW_DISCOVERY` was given for the file of that time: a change in the file is the later word.
         if let Some(address) = config.discovery_in_file.filter(|_| config.discovery_in_file != before) {
             self.reload.from = Reload::Platform(config.discovery_in_file);
@@ -77,6 +87,39 @@
         }
     }
 
+    /// New settings on the platform: a new pool with its own instance of the module takes new requests once it has
+    /// its list, and the one before ends what it has taken by the settings that it was taken under (an open request
+    /// keeps its class). Until the new one is ready, the old one serves the classes that it knows.
+    fn retune_platform(&mut self, config: &Config) {
+        let print = fingerprint(&config.site);
+        if self.reload.settings.as_ref() == Some(&print) {
+            return;
+        }
+        self.finish_retune(true);
+        let Some(old) = self.pools.iter().filter(|p| !p.leaving).last().map(|p| p.id) else { return };
+        let now = Instant::now();
+        let plan = crate::plan::Plan::platform_pool(config, &self.net.limits);
+        config.site.names.classes().iter().for_each(|c| self.stats.know_class(c));
+        self.reload.versions += 1;
+        let seed = self.seed.rotate_left(7) ^ self.reload.versions;
+        let new = self.add_pool(plan, seed, now);
+        self.reload.settings = Some(print);
+        self.reload.retiring = Some((old, new, now + self.net.limits.reload_wait));
+        info!(self.net.log, "new settings are taken"; "classes" => config.site.settings.classes.len());
+    }
+
+    /// Leaves the pool of the settings before, once the new one is ready or has had its time.
+    pub fn finish_retune(&mut self, now_anyway: bool) {
+        let Some((old, new, by)) = self.reload.retiring else { return };
+        let ready = self.pools.get(new).is_some_and(|p| p.ready);
+        if ready || now_anyway || Instant::now() >= by {
+            self.reload.retiring = None;
+            self.leave_pool(old);
+            self.pins.rebind(old, new);
+            info!(self.net.log, "new settings are in force"; "ready" => ready);
+        }
+    }
+
     /// Reads the operator's file once it has rested: a writer may still be at work, and half a file can look whole.
     pub fn continue_reload(&mut self, now: Instant) {
         let Some((_, give_up)) = self.reload.waits.filter(|(look, _)| *look <= now) else { return };
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -119,3 +119,33 @@
         figure(&text, "edge_gw.config_reloads") == Some(1)
     });
 }
+
+/// Guards against settings that wait for a restart: a class added at SIGHUP is served, and a broken file changes
+/// nothing but the count of errors.
+#[test]
+fn new_settings_at_sighup_bring_a_class_and_a_broken_file_changes_nothing() {
+    let up = Upstream::start(|_| ok("done"));
+    let discovery = Discovery::start();
+    let known = [host("s", up.address, 0, "SERVING")];
+    let (b, admin) = with_admin(&discovery, &known);
+    let peek = || look("1.2").replace("/look/", "/peek/");
+    assert_eq!(b.ask(&peek()).status(), 404, "the class is not known yet");
+    let text = config(b.address, discovery.address, 256, &known);
+    let grade = r#"{"HardLimitUs":1500000,"KeyScope":"all","LateWorth":0.0,"Name":"look""#;
+    let added = text.replacen(grade, &format!("{},{grade}", grade.replace("look", "peek") + "}"), 1);
+    let added =
+        added.replacen(r#""Name":"peek"}"#, r#""Name":"peek","Semantics":"safe","SloUs":1500000}"#, 1);
+    std::fs::write(&b.config, &added).unwrap();
+    b.signal("HUP");
+    until("the new class is served", || b.ask(&peek()).status() == 200);
+    assert_eq!(b.ask(&look("1.2")).status(), 200);
+    std::fs::write(&b.config, &added[..added.len() / 2]).unwrap();
+    b.signal("HUP");
+    until("the broken file counted", || {
+        let text = String::from_utf8_lossy(&call(admin, "GET", "/stats").body).to_string();
+        figure(&text, "edge_gw.config_reload_errors") == Some(1)
+    });
+    for _ in 0..5 {
+        assert_eq!((b.ask(&peek()).status(), b.ask(&look("1.2")).status()), (200, 200));
+    }
+}
