Take connections off both listeners by one accept that tells its errors apart

Change: callers::accept returns a stream, try again, nothing more, or a failure that calls for room; both loops use it.

--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -2,6 +2,7 @@
 //! (docs/design/admin.md). Its connections hold nothing of the callers' budgets and are bounded by a count of
 //! their own, so that no crowd of clients, nor callers that never finish a call, can starve it.
 
+use crate::callers::{accept, Accepted};
 use crate::http::{write_answer, Outgoing};
 use crate::stats::Gauges;
 use crate::{ConnId, Net, Proxy, Reading, Watched};
@@ -9,7 +10,7 @@
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use slog::{info, warn};
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Instant;
@@ -186,13 +187,11 @@
         let Some((listener, _)) = &self.admin.listener else { return };
         let listener = listener.clone();
         loop {
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) => {
+            let stream = match accept(&listener) {
+                Accepted::Stream(stream) => stream,
+                Accepted::Again => continue,
+                Accepted::Nothing => return,
+                Accepted::Failed(e) => {
                     // Out of descriptors: the oldest admin connection makes room, the call waits in the queue.
                     warn!(self.net.log, "an admin connection could not be taken"; "error" => %e);
                     match self.admin.conns.keys().next().copied() {
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -16,7 +16,7 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
-use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -248,13 +248,11 @@
             if !self.has_room(connections) {
                 return self.rest_accepting(at, "no connection is idle");
             }
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) => {
+            let stream = match accept(&listener) {
+                Accepted::Stream(stream) => stream,
+                Accepted::Again => continue,
+                Accepted::Nothing => return,
+                Accepted::Failed(e) => {
                     self.upstreams.close_oldest_idle(&self.net, |_| true);
                     self.close_idle_caller();
                     return self.rest_accepting(at, &e.to_string());
@@ -576,6 +574,29 @@
     }
 }
 
+/// What one accept brought.
+pub enum Accepted {
+    Stream(TcpStream),
+    /// Interrupted, or the connection was gone before it was taken: try again.
+    Again,
+    /// The queue is empty.
+    Nothing,
+    /// Out of descriptors or the like: room has to be made before the next one.
+    Failed(io::Error),
+}
+
+/// Takes one connection off a listener's queue.
+pub fn accept(listener: &TcpListener) -> Accepted {
+    match listener.accept() {
+        Ok((stream, _)) => Accepted::Stream(stream),
+        Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
+            Accepted::Again
+        }
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Accepted::Nothing,
+        Err(e) => Accepted::Failed(e),
+    }
+}
+
 /// Writes what is to be written; the end of the last answer ends the sending.
 fn flush(conn: &mut Conn) -> io::Result<()> {
     crate::write(&conn.socket.stream, &conn.output, &mut conn.written)?;
