Stop the loop spinning through a drain, and let admin accepting rest at EMFILE

Seen on a second reading: next_wake kept failed_at + drain_idle after it had passed, so dispatch waited 0 for the rest of the drain (lib.rs). Also: the admin listener is level-triggered, and an accept that fails with nothing to close would spin; it now rests for accept_rest.

--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -92,6 +92,8 @@
     conns: BTreeMap<ConnId, Conn>,
     /// Since when this process is drained by `PUT /healthcheck/fail`.
     pub failed_at: Option<Instant>,
+    /// Accepting rests until then: the system had no descriptor, and a level-triggered listener would spin.
+    rest: Option<Instant>,
 }
 
 impl Admin {
@@ -111,7 +113,8 @@
 
     /// When the oldest connection's time is up.
     pub fn next_wake(&self, net: &Net) -> Option<Instant> {
-        self.conns.values().map(|c| c.since + net.limits.admin_call).min()
+        let calls = self.conns.values().map(|c| c.since + net.limits.admin_call);
+        calls.chain(self.rest).min()
     }
 
     /// Whether clients' connections are to close after their present request.
@@ -142,6 +145,12 @@
             .filter(|(_, c)| now >= c.since + net.limits.admin_call)
             .map(|(&id, _)| id)
             .collect();
+        if self.rest.is_some_and(|at| at <= now) {
+            self.rest = None;
+            if let Some((_, token)) = &self.listener {
+                let _ = net.handle.enable(token);
+            }
+        }
         for id in late {
             if let Some(conn) = self.conns.get_mut(&id) {
                 if conn.answered {
@@ -164,7 +173,8 @@
         let Some(conn) = self.conns.get_mut(&id) else { return };
         let headers: &[u8] = if body.is_empty() { b"" } else { b"Content-Type: text/plain\r\n" };
         write_answer(&mut conn.output, &Outgoing { status, headers, body, bare_length: None }, true);
-        conn.answered = true;
+        // It lingers once more as long, so that a late answer such as the 408 arrives before the close.
+        (conn.answered, conn.since) = (true, Instant::now());
         if flush(conn).is_err() {
             self.drop_conn(net, id);
         }
@@ -196,7 +206,13 @@
                     warn!(self.net.log, "an admin connection could not be taken"; "error" => %e);
                     match self.admin.conns.keys().next().copied() {
                         Some(oldest) => self.admin.drop_conn(&self.net, oldest),
-                        None => return,
+                        None => {
+                            if let Some((_, token)) = &self.admin.listener {
+                                let _ = self.net.handle.disable(token);
+                                self.admin.rest = Some(Instant::now() + self.net.limits.accept_rest);
+                            }
+                            return;
+                        }
                     }
                     continue;
                 }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -298,7 +298,9 @@
             self.callers.resume_at(),
             self.shutdown.next_wake(),
             self.admin.next_wake(&self.net),
-            self.admin.failed_at.map(|at| at + self.net.limits.drain_idle),
+            // Once passed, closing idle connections goes on at every turn and sweep: no wake of its own, or the
+            // loop would spin for the whole drain.
+            self.admin.failed_at.map(|at| at + self.net.limits.drain_idle).filter(|&at| at > Instant::now()),
             self.next_consultation(),
         ];
         wakes.into_iter().flatten().min()
