Close the limit on queues that servers tire of, and rest a server that fails every class

At fault, in rules.rs: eject() counted a server that is out for one class against the share of one server in three, so that in a fleet of four it held the only place itself; judge() took every answer as good, however late, which also kept overdue() from telling; adapt_limit() knew time over the aim only, and aims are six times the work here.

Change: a server already out takes no more of the share; answers count as bad from 4 times the expected time on; the limit also closes when served times, as a running mean of logarithms over the root of the price, pass 2.2 times the least that this mean has been. The only balancer of a tier keeps its connections until 0.4 s before its last answer is due: its clients find no other one (2.1 s before, 3.1 s now, with SIGKILL at 3.7 s).

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -124,7 +124,7 @@
             memory_mb: config.memory_mb,
             resolution: time(config.site.settings.resolution),
             drain_answer,
-            drain_keep: drain_answer.mul_f64(0.6),
+            drain_keep: drain_keep(config.site.settings.instances, drain_answer),
             upstream_connect: config.dial_timeout.map_or(Duration::from_millis(250), time),
             upstream_idle: time(config.site.settings.idle_close) * 2 / 3,
             admin: config.admin.is_some(),
@@ -201,8 +201,34 @@
     }
 }
 
+/// How long connections are kept between requests after SIGTERM. Clients of several balancers find another one, and
+/// the sooner they do, the more of their requests are served. To those of the only one nothing is left but the
+/// connections that they have: it keeps them for as long as an answer still comes in time.
+fn drain_keep(instances: u32, answer: Duration) -> Duration {
+    if instances > 1 {
+        answer.mul_f64(0.6)
+    } else {
+        answer.saturating_sub(Duration::from_millis(400)).max(answer.mul_f64(0.6))
+    }
+}
+
 /// The connections that so many descriptors leave room for: the rest is for listeners, loop, signals, discovery,
 /// standard streams and what is about to close.
 pub fn connections(descriptors: usize) -> usize {
     descriptors - (descriptors / 16).max(24).min(descriptors)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against an only balancer that closes, at a planned restart, connections in whose place clients get
+    /// none; and against answers that come after the kill.
+    #[test]
+    fn the_only_balancer_keeps_its_connections_for_longest() {
+        let answer = Duration::from_millis(3500);
+        let (only, several) = (drain_keep(1, answer), drain_keep(2, answer));
+        assert!(only > several && only < answer, "{only:?} {several:?}");
+        assert_eq!(drain_keep(1, Duration::from_millis(500)), drain_keep(2, Duration::from_millis(500)));
+    }
+}
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -35,6 +35,8 @@
 const BAD_MEAN: f64 = 0.3; // least weight of one outcome in the outlier score
 const BAD_EJECT: f64 = 0.4; // the score that ejects, above twice the peers' own
 const BAD_WELL: f64 = 0.1; // the score under which a server is well again
+const SLOW_FROM: f64 = 4.0; // an answer is bad from this multiple of its expected time: 1 in 50
+const SLOW_OVER: f64 = 8.0; // and wholly bad so many multiples later
 const EJECT_FIRST: Micros = Micros(1_000_000); // a few times a call; doubled up to what discovery takes
 const EJECT_DOUBLINGS: u32 = 4;
 const EJECT_SHARE: usize = 3; // panic threshold: one in so many; beyond it the trouble is not theirs alone
@@ -55,6 +57,9 @@
 const CROWDED: f64 = 0.25; // mean square of time over aim: exponential times, a third of the aim on average
 const CROWD_SILENT: f64 = 0.375; // most that an unanswered call adds to it: a few hung servers are no crowd
 const CROWD_MOST: f64 = 0.15; // most weight of one call in it: a single late one must not close the limit
+const STRETCH: f64 = 2.2; // served over uncrowded time past which it closes: more wait than run
+const STRETCH_MEAN: f64 = 1.0 / 64.0; // weight of a call in the present time: its mean is sure to a fifth
+const STRETCH_DRIFT: f64 = 1e-3; // of the uncrowded time towards it each period: forgotten in minutes
 const LIMIT_FIRST: f64 = 6.0; // the concurrency limit at first, per server
 const LIMIT_CHANCE: f64 = 2.0; // and roots of an instance's share of it, as room for chance
 const LIMIT_LEAST: f64 = 4.0; // its floor per server: at fewer, those that wait on others would idle
@@ -620,6 +625,13 @@
         let ratio = (time / expected).min(2.0 * SLOW_BOUND);
         s.ratio += 2.0 * CALL_MEAN * (ratio / pool.ratio.max(0.01) - s.ratio);
         pool.ratio += CALL_MEAN * (ratio - pool.ratio);
+        // Heavy-tailed: logarithms. The root of the price: a part of the time grows with it, a part does not.
+        pool.logs += 1.0;
+        let log = time.max(1.0).ln() - 0.5 * price.max(1.0).ln();
+        pool.log += STRETCH_MEAN.max(1.0 / pool.logs) * (log - pool.log);
+        if pool.logs * STRETCH_MEAN >= 1.0 {
+            pool.base = Some(pool.base.map_or(pool.log, |b| b.min(pool.log)));
+        }
     }
 
     // ---- period ----
@@ -739,15 +751,19 @@
     }
 
     /// Overload: the concurrency limit shrinks while served times take too much of the aim, and grows when it
-    /// binds though they don't. Guards against crowding. It asks for time to the aim, not over the best time.
+    /// binds though they don't. Guards against crowding, which shows in time over the aim, or, where that is
+    /// far off, over the uncrowded time: servers may tire of a queue that calls have time for.
     fn adapt_limit(&mut self) {
         for p in &mut self.pools {
-            if p.crowd > CROWDED {
+            let stretch = p.base.map_or(0.0, |base| (p.log - base) / STRETCH.ln());
+            p.base = p.base.map(|base| base + STRETCH_DRIFT * (p.log - base));
+            let crowd = p.crowd.max(CROWDED * stretch);
+            if crowd > CROWDED {
                 let least = LIMIT_LEAST * p.ready / f64::from(self.set.instances.max(1));
-                let down = (LIMIT_DOWN * p.crowd / CROWDED).min(LIMIT_DOWN_MOST);
+                let down = (LIMIT_DOWN * crowd / CROWDED).min(LIMIT_DOWN_MOST);
                 p.limit = (p.limit * (1.0 - down)).max(least);
             } else if p.out as f64 + self.chance >= LIMIT_BINDS * p.limit {
-                let spare = 1.0 - p.crowd / CROWDED;
+                let spare = 1.0 - crowd / CROWDED;
                 p.limit = (p.limit * (1.0 + LIMIT_UP * spare)).min(1e6);
             }
         }
@@ -792,7 +808,8 @@
             self.st.held += CALL_MEAN * (held - self.st.held);
         }
         let bad = match o.code {
-            Code::Ok => 0.0,
+            // Slow answers tell of a slow server as time-outs do, from further off: work is heavy-tailed.
+            Code::Ok => ((o.latency.0 as f64 / expected - SLOW_FROM) / SLOW_OVER).clamp(0.0, 1.0),
             Code::Error | Code::Reset | Code::ConnectFailed => 1.0,
             // One that was overdue has told; another tells as much as it was late when its time was up.
             Code::Timeout | Code::Cancelled if flight.overdue => {
@@ -864,12 +881,15 @@
         hot.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.2.cmp(&b.2)));
         for (bad, server, key, wait) in hot {
             let peers = (sum[key] - bad) / (n - 1).max(1) as f64;
-            if n < 2 || ejected >= (n / EJECT_SHARE).max(1) || bad < BAD_EJECT + 2.0 * peers {
+            // One out for a class already takes no more of the share: among few it would stay.
+            let more = self.servers[server].marks.iter().all(|m| m.ejected_until.is_none());
+            let full = more && ejected >= (n / EJECT_SHARE).max(1);
+            if n < 2 || full || bad < BAD_EJECT + 2.0 * peers {
                 continue;
             }
             let m = &mut self.servers[server].marks[key];
             (m.ejected_until, m.strikes) = (Some(self.now + wait), m.strikes + 1);
-            ejected += 1;
+            ejected += usize::from(more);
             self.stale = true;
             if m.strikes == 1 {
                 let what = if key == 0 { String::new() } else { format!(" for class {}", key - 1) };
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -72,6 +72,9 @@
     pub units: f64,
     pub crowd: f64, // Served time over the aim, squared: the late ones count most
     pub crowd_at: Micros,
+    pub logs: f64, // Calls in the running mean of served time, a logarithm, and the least that this mean was
+    pub log: f64,
+    pub base: Option<f64>,
 }
 
 pub struct Attempt {
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -588,6 +588,79 @@
     assert!(to[0][0] < 20 && to[1][0] > 30, "{to:?}");
 }
 
+/// Guards against a server out for one class that stays in for the others: in a fleet where one server is all that
+/// may be out, it took the place that it would have needed itself.
+#[test]
+fn a_server_out_for_one_class_goes_for_the_next_that_it_fails_too() {
+    let set = Settings { classes: vec![Class::default(); 2], idle_close: Micros(0), ..Settings::default() };
+    let mut t = Bench::new(set, 4);
+    let mut late = 0;
+    for id in 0..800 {
+        t.acts.clear();
+        let class = (id % 2) as usize;
+        let (expires, hint) = (t.now + Micros(900_000), Some(Micros(10_000)));
+        t.tell(Event::Request(NewRequest {
+            id: RequestId(id),
+            class: ClassId(class as u32),
+            tenant: None,
+            expires,
+            hint,
+            repeat: false,
+            key: None,
+        }));
+        let server = t.sent().unwrap();
+        late += u32::from(class == 1 && server == 0 && id > 500);
+        let fails = server == 0 && (class == 0 || id > 400);
+        t.end(id, 0, if fails { Code::Error } else { Code::Ok }, 10_000, None);
+        if t.sent().is_some() {
+            t.end(id, 1, Code::Ok, 10_000, None);
+        }
+        t.periods(1);
+    }
+    assert!(late < 15, "{late} of 150 calls of the second class went to the server that fails both");
+}
+
+/// Guards against a server that answers everything, but so late that it is of no use: prices are bounded, and its
+/// answers spoke for it. One that is only somewhat slower keeps its place.
+#[test]
+fn a_server_that_answers_far_too_late_is_left_alone() {
+    let out = |slower: i64| {
+        let mut t = Bench::new(settings(Effect::Unsafe), 4);
+        let mut to = 0;
+        for id in 0..400 {
+            let slow = t.ask(id, 10_000) == Some(0);
+            to += u32::from(slow && id >= 100);
+            t.end(id, 0, Code::Ok, if slow { 20_000 * slower } else { 20_000 }, None);
+            t.periods(i64::from(id % 8 == 0));
+        }
+        to
+    };
+    let (far, somewhat) = (out(20), out(3));
+    assert!(
+        somewhat >= 8 && far * 3 <= somewhat,
+        "{far} of 300 at 20 times the others' time, {somewhat} at 3"
+    );
+}
+
+/// Guards against queues that calls have time for, but servers tire of: the limit closes while the aim is far off.
+#[test]
+fn a_queue_closes_the_limit_long_before_the_aim_is_near() {
+    let out = |time: i64| {
+        let mut t = Bench::new(settings(Effect::Safe), 2);
+        for id in 0..600 {
+            t.ask(id, 10_000);
+            t.end(id, 0, Code::Ok, if id < 200 { 10_000 } else { time }, None);
+            t.periods(i64::from(id % 8 == 0));
+        }
+        (1_000..1_060).filter(|&id| t.ask(id, 10_000).is_some()).count()
+    };
+    let (alike, queued) = (out(10_000), out(60_000));
+    assert!(
+        queued <= 9 && alike >= 2 * queued,
+        "{queued} let out at six times the usual time, {alike} at it"
+    );
+}
+
 #[test]
 fn an_idle_instance_asks_for_no_timers() {
     let mut t = Bench::new(settings(Effect::Safe), 3);
