Tell a request to go once half its aim has passed while no room is left for it

Checked and ruled out: connections are not closed early (the probe counts none before SIGTERM, and none we dropped before the drain's end), upstreams keep up, accepting never rested. At fault: drain_held() in rules.rs kept what found no room for as long as value() was above 0, and where late answers earn something that is the whole deadline.

Change: at the first tier a request that waits for room is refused, with Retry-After, once half its aim has passed.

--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -67,6 +67,7 @@
 const LIMIT_DOWN_MOST: f64 = 0.25;
 const LIMIT_UP: f64 = 0.05; // its step up, by what is spare, once this part of it is out
 const LIMIT_BINDS: f64 = 0.8;
+const HOLD_MOST: f64 = 0.5; // part of its aim that a request may wait here: the rest is for being served
 const LOW_WORTH_ROOM: f64 = 0.5; // part of it for requests worth little
 
 // Membership.
@@ -345,7 +346,9 @@
         let mut waiting: Vec<(f64, Micros, RequestId)> = Vec::new();
         for id in std::mem::take(&mut self.held) {
             match self.requests.get(&id).map(|r| (r, self.value(id, r, IN_TIME))).filter(|(r, _)| !r.over) {
-                Some((r, v)) if r.expires > self.now && v > 0.0 => waiting.push((v, self.aim_at(r), id)),
+                Some((r, v)) if r.expires > self.now && v > 0.0 && !self.held_for_long(r) => {
+                    waiting.push((v, self.aim_at(r), id))
+                }
                 Some(_) => self.finish(id, actions),
                 None => {}
             }
@@ -363,6 +366,13 @@
         }
     }
 
+    /// Whether a request has waited here for so long that it is told to go: its client's connections are few,
+    /// and what has used up its aim in a queue is served late. Lower tiers go by the caller.
+    fn held_for_long(&self, r: &Request) -> bool {
+        let aim = (self.aim_at(r) - r.came).0 as f64;
+        self.set.tier == 0 && (self.now - r.came).0 as f64 >= HOLD_MOST * aim
+    }
+
     /// Rule 1 and 2: the one final answer. A refusal says that a repeat does no harm.
     fn finish(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.over) else { return };
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -642,6 +642,26 @@
     );
 }
 
+/// Guards against requests that wait here until their time is up where late answers still earn something: each
+/// holds a connection of its client, and is served late at best. Lower tiers hold on: their caller has work sunk.
+#[test]
+fn a_request_is_told_to_go_once_half_its_aim_has_passed_in_the_queue() {
+    for (tier, told) in [(0, true), (1, false)] {
+        let classes = vec![Class { late_worth: 0.3, effect: Effect::Unsafe, ..Class::default() }];
+        let mut t = Bench::new(Settings { tier, classes, ..settings(Effect::Unsafe) }, 2);
+        let held = 39;
+        for id in 0..held {
+            t.ask(id, 10_000);
+        }
+        assert_eq!(t.ask(held, 10_000), None, "the limit closes");
+        t.periods(2);
+        assert!(!t.acts.iter().any(|a| matches!(a, Action::Refuse { .. })), "told too soon");
+        t.periods(1);
+        let refused = |a: &Action| matches!(a, Action::Refuse { id, .. } if id.0 == held);
+        assert_eq!(t.acts.iter().any(refused), told, "{:?}", t.acts);
+    }
+}
+
 /// Guards against queues that calls have time for, but servers tire of: the limit closes while the aim is far off.
 #[test]
 fn a_queue_closes_the_limit_long_before_the_aim_is_near() {
