--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -29,9 +29,13 @@
     }
 
     fn ask(&mut self, id: u64, work: i64) -> Option<u32> {
+        self.ask_class(id, 0, work, 2_000_000)
+    }
+
+    fn ask_class(&mut self, id: u64, class: u32, work: i64, patience: i64) -> Option<u32> {
         self.acts.clear();
-        let expires = self.now + Micros(2_000_000);
-        let (class, hint) = (ClassId(0), Some(Micros(work)));
+        let expires = self.now + Micros(patience);
+        let (class, hint) = (ClassId(class), Some(Micros(work)));
         self.tell(Event::Request(NewRequest {
             id: RequestId(id),
             class,
@@ -564,20 +568,8 @@
     let mut t = Bench::new(set, 3);
     let mut to = [[0; 3]; 2];
     for id in 0..400 {
-        t.acts.clear();
         let class = (id % 2) as usize;
-        let (expires, hint) = (t.now + Micros(900_000), Some(Micros(10_000)));
-        let (request, of) = (RequestId(id), ClassId(class as u32));
-        t.tell(Event::Request(NewRequest {
-            id: request,
-            class: of,
-            tenant: None,
-            expires,
-            hint,
-            repeat: false,
-            key: None,
-        }));
-        let server = t.sent().unwrap() as usize;
+        let server = t.ask_class(id, class as u32, 10_000, 900_000).unwrap() as usize;
         to[class][server] += u32::from(id > 100);
         t.end(id, 0, if class == 0 && server == 0 { Code::Error } else { Code::Ok }, 10_000, None);
         if t.sent().is_some() {
@@ -596,19 +588,8 @@
     let mut t = Bench::new(set, 4);
     let mut late = 0;
     for id in 0..800 {
-        t.acts.clear();
-        let class = (id % 2) as usize;
-        let (expires, hint) = (t.now + Micros(900_000), Some(Micros(10_000)));
-        t.tell(Event::Request(NewRequest {
-            id: RequestId(id),
-            class: ClassId(class as u32),
-            tenant: None,
-            expires,
-            hint,
-            repeat: false,
-            key: None,
-        }));
-        let server = t.sent().unwrap();
+        let class = id % 2;
+        let server = t.ask_class(id, class as u32, 10_000, 900_000).unwrap();
         late += u32::from(class == 1 && server == 0 && id > 500);
         let fails = server == 0 && (class == 0 || id > 400);
         t.end(id, 0, if fails { Code::Error } else { Code::Ok }, 10_000, None);
