--- a/crates/config/src/file/check.rs
+++ b/crates/config/src/file/check.rs
@@ -1,5 +1,6 @@
 //! From the file as it is written to what the program uses: every check and every default.
 
+use super::fleet::Fleet;
 use super::format::{self, File, KeyScope, LogLevel, LogRequests, NodeState, Repeat, Time};
 use super::problems::{nearest, Document, Path};
 use garnettally_model::*;
@@ -30,6 +31,10 @@
     pub requests: usize,
     /// Keys whose windows are open.
     pub pins: usize,
+    /// Where operators call.
+    pub admin: Option<SocketAddr>,
+    /// The link to the other balancers.
+    pub fleet: Option<Fleet>,
     /// Where clients connect.
     pub listeners: Vec<Listener>,
     /// The names of the classes, in the order of their numbers.
@@ -182,6 +187,12 @@
             }
         }
         let listeners = self.listeners(f);
+        let admin = f.admin.as_ref().map(|a| self.address(&top.key("admin").key("address"), &a.address));
+        if let Some(l) = listeners.iter().find(|l| Some(l.address) == admin && l.address.port() != 0) {
+            let what = format!("listeners.{} has {}, too", l.name, l.address);
+            self.wrong(&top.key("admin").key("address"), what, "give each its own");
+        }
+        let fleet = f.fleet.as_ref().map(|fleet| self.fleet(f, fleet));
         let (classes, facts) = self.classes(f);
         for (name, t) in &f.tenants {
             let key = top.key("tenants").key(name).key("quota");
@@ -218,6 +229,8 @@
             memory_mb,
             requests,
             pins,
+            admin,
+            fleet,
             listeners,
             classes,
             class_facts: facts,
@@ -228,7 +241,7 @@
         })
     }
 
-    fn whole(
+    pub(super) fn whole(
         &mut self,
         key: &Path,
         value: Option<usize>,
@@ -251,7 +264,13 @@
         n
     }
 
-    fn time(&mut self, key: &Path, value: Option<&Time>, default: Duration, least: Duration) -> Duration {
+    pub(super) fn time(
+        &mut self,
+        key: &Path,
+        value: Option<&Time>,
+        default: Duration,
+        least: Duration,
+    ) -> Duration {
         let Some(Time(text)) = value else { return default };
         match humantime::parse_duration(text) {
             Ok(time) if (least..=LONGEST).contains(&time) => time,
@@ -271,7 +290,7 @@
         }
     }
 
-    fn address(&mut self, key: &Path, text: &str) -> SocketAddr {
+    pub(super) fn address(&mut self, key: &Path, text: &str) -> SocketAddr {
         text.parse().unwrap_or_else(|_| {
             let remedy = "write it as 192.0.2.7:8080 or [2001:db8::7]:8080; names are not looked up";
             self.wrong(key, format!("{text:?} is not an address with a port"), remedy);
--- a/crates/config/src/file/format.rs
+++ b/crates/config/src/file/format.rs
@@ -22,6 +22,12 @@
     /// What the process may use.
     #[serde(default)]
     pub limits: ProcessLimits,
+    /// Where operators call. Default: nowhere.
+    #[serde(default)]
+    pub admin: Option<Admin>,
+    /// The other balancers of the fleet. Default: nothing is shared with any.
+    #[serde(default)]
+    pub fleet: Option<Fleet>,
     /// Where clients connect, by name. One at the least.
     pub listeners: BTreeMap<String, Listener>,
     /// Kinds of requests, by name. One at the least.
@@ -121,6 +127,74 @@
     pub pins: Option<usize>,
 }
 
+/// Where operators call.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Admin {
+    /// Address and port; nobody but operators should reach it.
+    pub address: String,
+}
+
+/// The other balancers of the fleet, and the link to them. Without this table nothing is shared with any.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    /// Address and UDP port where this member takes datagrams.
+    pub address: String,
+    /// Where peers reach it, if that is another address. Default: `address`.
+    #[serde(default)]
+    pub advertise: Option<String>,
+    /// Its name, which no other member has. Default: `name` of the file, which is then required.
+    #[serde(default)]
+    pub name: Option<String>,
+    /// Its zone, as the nodes' zones are named. Default: "".
+    #[serde(default)]
+    pub zone: Option<String>,
+    /// Addresses of members that let it in: two or three that are seldom down together. Default: none.
+    #[serde(default)]
+    pub seeds: Vec<String>,
+    /// File of keys, a line each: a number and 64 hex digits; the first seals, each opens. Default: none, and then
+    /// only loopback addresses may be used.
+    #[serde(default)]
+    pub key_file: Option<String>,
+    /// A member chosen by chance is probed this often. Default: "1s".
+    #[serde(default)]
+    pub probe_period: Option<Time>,
+    /// A member that did not answer is taken to be dead after this. Default: "3s". No less than `probe_period`.
+    #[serde(default)]
+    pub suspicion: Option<Time>,
+    /// A dead member is forgotten after this. Default: "10m". No less than twice `suspicion`.
+    #[serde(default)]
+    pub forget_after: Option<Time>,
+    /// Some peers are asked for news this often. Default: "200ms".
+    #[serde(default)]
+    pub ask_every: Option<Time>,
+    /// So many peers, beside one by chance. Default: 3. 1 to 16.
+    #[serde(default)]
+    pub ask_peers: Option<usize>,
+    /// What peers said is void when it is so old. Default: "10s". No less than ten times `ask_every`.
+    #[serde(default)]
+    pub max_age: Option<Time>,
+    /// Members that are known at the most. Default: 4096. 2 to 65536.
+    #[serde(default)]
+    pub members: Option<usize>,
+    /// Pieces of news that are held at the most. Default: 8192. 64 to 1048576.
+    #[serde(default)]
+    pub facts: Option<usize>,
+    /// The fleet is taken to have at least so many members. Default: 1. No more than `members`.
+    #[serde(default)]
+    pub size_floor: Option<usize>,
+    /// Nor fewer than were alive at once within this. Default: "1m".
+    #[serde(default)]
+    pub size_hold: Option<Time>,
+    /// KiB a second that are sent at the most. Default: 256. 8 to 65536.
+    #[serde(default)]
+    pub send_kb: Option<usize>,
+    /// Datagrams a second that are looked at at the most. Default: 10000. 100 to 1000000.
+    #[serde(default)]
+    pub receive_datagrams: Option<usize>,
+}
+
 /// A part of a limit: what is its own, and the most that it may have.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/config/src/file/mod.rs
+++ b/crates/config/src/file/mod.rs
@@ -4,10 +4,12 @@
 //! wrong is told at once. `docs/configuration.md` is the page for operators.
 
 mod check;
+mod fleet;
 pub mod format;
 pub mod problems;
 
 pub use check::{Basis, Listener, Logging, Nodes, Operator, Pool};
+pub use fleet::Fleet;
 pub use problems::{Path, Problem, Problems, Step};
 
 use check::Check;
--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -146,7 +146,7 @@
             drain_keep: Duration::from_secs(2),
             upstream_connect: Duration::from_millis(250),
             upstream_idle: Duration::from_secs(40),
-            admin: false,
+            admin: operator.admin.is_some(),
         })
     }
 
--- a/crates/config/tests/file.rs
+++ b/crates/config/tests/file.rs
@@ -245,3 +245,37 @@
         }
     }
 }
+
+fn with_fleet(keys: &str) -> String {
+    format!("{SMALL}[fleet]\naddress = \"127.0.0.1:7400\"\nname = \"a\"\n{keys}\n")
+}
+
+#[test]
+fn a_fleet_has_defaults_and_none_is_none() {
+    assert!(accepted(SMALL).fleet.is_none());
+    let f = accepted(&with_fleet("seeds = [\"127.0.0.1:7401\"]")).fleet.unwrap();
+    assert_eq!((f.advertise, f.seeds.len(), f.ask_peers), (f.address, 1, 3));
+    assert_eq!((f.suspicion.as_secs(), f.max_age.as_secs(), f.size_floor), (3, 10, 1));
+}
+
+/// Keys of `[fleet]` that contradict each other get a message that names both.
+#[test]
+fn contradictions_of_a_fleet_name_both_keys() {
+    for (keys, both) in [
+        ("suspicion = \"500ms\"", ["fleet.suspicion", "fleet.probe_period"]),
+        ("forget_after = \"4s\"", ["fleet.forget_after", "fleet.suspicion"]),
+        ("max_age = \"1s\"", ["fleet.max_age", "fleet.ask_every"]),
+        ("size_floor = 9\nmembers = 8", ["fleet.size_floor", "fleet.members"]),
+        ("seeds = [\"192.0.2.7:7400\"]", ["fleet.seeds", "fleet.key_file"]),
+        ("advertise = \"192.0.2.7:7400\"", ["fleet.advertise", "fleet.key_file"]),
+    ] {
+        let told = problems(&with_fleet(keys));
+        assert!(told.iter().any(|p| both.iter().all(|k| p.contains(k))), "{keys}: {told:#?}");
+    }
+    let told = problems(&with_fleet("").replace("127.0.0.1:7400", "0.0.0.0:7400"));
+    assert!(told.iter().any(|p| p.contains("fleet.advertise") && p.contains("fleet.address")), "{told:#?}");
+    let told = problems(&with_fleet("").replace("name = \"a\"\n", ""));
+    assert!(told.iter().any(|p| p.contains("fleet.name and name")), "{told:#?}");
+    let told = problems(&format!("{SMALL}[admin]\naddress = \"127.0.0.1:8080\"\n"));
+    assert!(told.iter().any(|p| p.contains("admin.address") && p.contains("listeners.a")), "{told:#?}");
+}
--- /dev/null
+++ b/crates/drill/src/run.rs
@@ -0,0 +1,328 @@
+//! A drill as it runs: starts, faults in their time, and looks from outside all the while.
+
+use crate::http;
+use crate::process::{free_addresses, Life, Member};
+use crate::relay::{Faults, Relays};
+use crate::report::{Checks, Report, Sample};
+use crate::script::{Fault, Script, What};
+use rustix::process::Signal;
+use serde_json::Value;
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// Why a drill could not be held.
+#[derive(Debug, Error)]
+pub enum DrillError {
+    /// The system did not allow it.
+    #[error("{what}: {source}")]
+    System {
+        /// What was tried.
+        what: String,
+        /// Why not.
+        source: io::Error,
+    },
+}
+
+fn system(what: impl Into<String>) -> impl FnOnce(io::Error) -> DrillError {
+    let what = what.into();
+    |source| DrillError::System { what, source }
+}
+
+/// Between two looks at all members.
+const LOOK: Duration = Duration::from_millis(50);
+/// An answer takes no longer than this, on a machine that is busy with the drill itself.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// All that start at once have met within this.
+const MEET: Duration = Duration::from_secs(30);
+
+const OLD_KEY: &str = "1 1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b1b";
+const NEW_KEY: &str = "2 2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c2c";
+const OTHER_KEY: &str = "1 3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d3d";
+
+/// Status and body, or why there is none.
+type Answer = Result<(u16, String), String>;
+
+struct Drill<'a> {
+    script: &'a Script,
+    program: &'a Path,
+    folder: &'a Path,
+    members: Vec<Member>,
+    /// It has answered a request in this life.
+    ready: Vec<bool>,
+    relays: Relays,
+    start: Instant,
+    checks: Checks,
+}
+
+/// Holds a drill with this program, in this folder, which is made if it is not there.
+pub fn run(script: &Script, program: &Path, folder: &Path) -> Result<Report, DrillError> {
+    std::fs::create_dir_all(folder).map_err(system(folder.display().to_string()))?;
+    let node = stand_in().map_err(system("a stand-in node"))?;
+    let mut members = Vec::new();
+    for i in 0..script.members {
+        let addresses = free_addresses(i).map_err(system("free addresses"))?;
+        let name = script.named_as.get(&i.to_string()).cloned().unwrap_or_else(|| format!("m{i}"));
+        members.push(Member::new(name, addresses, folder.join(format!("m{i}.toml"))));
+    }
+    let links: Vec<SocketAddr> = members.iter().map(|m| m.link).collect();
+    let faults = Faults {
+        loss: script.loss,
+        twice: script.twice,
+        delay: script.delay.unwrap_or_default(),
+        cut: BTreeSet::new(),
+    };
+    let relays = Relays::start(&links, script.seed, faults).map_err(system("relays"))?;
+    for (i, m) in members.iter().enumerate() {
+        let text = file(script, i, m, &relays.addresses, node, folder);
+        std::fs::write(&m.file, text).map_err(system(m.file.display().to_string()))?;
+        // A log of an earlier drill in this folder would speak for this one.
+        let _ = std::fs::remove_file(m.file.with_extension("log"));
+    }
+    let ready = vec![false; members.len()];
+    let checks = Checks::new(script);
+    let drill = Drill { script, program, folder, members, ready, relays, start: Instant::now(), checks };
+    drill.write_keys(&[OLD_KEY])?;
+    drill.hold()
+}
+
+/// A member's file.
+fn file(s: &Script, i: usize, m: &Member, peers: &[SocketAddr], node: SocketAddr, folder: &Path) -> String {
+    let mut text = format!("version = 1\nname = {:?}\n[admin]\naddress = \"{}\"\n", m.name, m.admin);
+    let _ = write!(
+        text,
+        "[listeners.main]\naddress = \"{}\"\n[classes.any]\nrepeat = \"safe\"\naim = \"1s\"\ndeadline = \"2s\"\n\
+         [pools.web]\nnodes = [{{ name = \"n\", address = \"{node}\" }}]\n\
+         [[routes]]\nname = \"all\"\npath_prefix = \"/\"\nclass = \"any\"\npool = \"web\"\n",
+        m.listen
+    );
+    let seeds: Vec<String> = peers.iter().take(3).map(|a| format!("\"{a}\"")).collect();
+    let zone = if s.zones.is_empty() { "" } else { &s.zones[i % s.zones.len()] };
+    let key = folder.join(key_name(s, i));
+    let _ = write!(
+        text,
+        "[fleet]\naddress = \"{}\"\nadvertise = \"{}\"\nzone = {zone:?}\nkey_file = {:?}\n",
+        m.link,
+        peers[i],
+        key.display().to_string()
+    );
+    if !s.fleet.contains_key("seeds") {
+        let _ = writeln!(text, "seeds = [{}]", seeds.join(", "));
+    }
+    for (key, value) in &s.fleet {
+        let _ = writeln!(text, "{key} = {value}");
+    }
+    text
+}
+
+fn key_name(s: &Script, i: usize) -> &'static str {
+    if s.strangers.contains(&i) {
+        "strangers.keys"
+    } else {
+        "fleet.keys"
+    }
+}
+
+/// A node that answers every request at once.
+fn stand_in() -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { continue };
+            thread::spawn(move || {
+                let (mut held, mut part) = (Vec::new(), [0; 4096]);
+                while let Ok(n @ 1..) = stream.read(&mut part) {
+                    held.extend_from_slice(&part[..n]);
+                    while let Some(end) = held.windows(4).position(|w| w == b"\r\n\r\n") {
+                        held.drain(..end + 4);
+                        if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").is_err() {
+                            return;
+                        }
+                    }
+                }
+            });
+        }
+    });
+    Ok(address)
+}
+
+impl Drill<'_> {
+    fn write_keys(&self, keys: &[&str]) -> Result<(), DrillError> {
+        let write = |name: &str, text: String| {
+            let (path, new) = (self.folder.join(name), self.folder.join(format!("{name}.new")));
+            std::fs::write(&new, text)
+                .and_then(|()| std::fs::rename(&new, &path))
+                .map_err(system(path.display().to_string()))
+        };
+        write("fleet.keys", keys.join("\n") + "\n")?;
+        write("strangers.keys", format!("{OTHER_KEY}\n"))
+    }
+
+    fn start_member(&mut self, i: usize) -> Result<(), DrillError> {
+        self.ready[i] = false;
+        self.checks.lives_anew(i);
+        self.members[i].start(self.program).map_err(system(self.program.display().to_string()))
+    }
+
+    fn hold(mut self) -> Result<Report, DrillError> {
+        for i in 0..self.members.len() {
+            if !self.script.late.contains(&i) {
+                self.start_member(i)?;
+            }
+        }
+        let begun = Instant::now();
+        while !self.look(false) && begun.elapsed() < MEET {
+            thread::sleep(LOOK);
+        }
+        self.checks.met(begun.elapsed(), MEET);
+        self.start = Instant::now();
+        let mut faults: Vec<Fault> = self.script.faults.clone();
+        faults.sort_by_key(|f| f.at);
+        let mut faults = faults.into_iter().peekable();
+        while self.start.elapsed() < self.script.time {
+            let now = self.start.elapsed();
+            while let Some(f) = faults.next_if(|f| f.at <= now) {
+                self.inflict(&f)?;
+            }
+            self.look(true);
+            thread::sleep(LOOK);
+        }
+        let over = Instant::now();
+        let most = self.script.settle.unwrap_or_else(|| self.checks.settles_within());
+        let mut agreed = self.look(true);
+        while !agreed && over.elapsed() < most {
+            thread::sleep(LOOK);
+            agreed = self.look(true);
+        }
+        self.checks.settled(agreed, over.elapsed(), most);
+        let logs: Vec<String> = self
+            .members
+            .iter()
+            .map(|m| std::fs::read_to_string(m.file.with_extension("log")).unwrap_or_default())
+            .collect();
+        self.checks.logs(&logs);
+        let (datagrams, bytes) = self.relays.traffic();
+        let costs = self.members.iter().filter_map(Member::cost).collect();
+        Ok(self.checks.report(begun.elapsed(), datagrams, bytes, costs))
+    }
+
+    fn inflict(&mut self, f: &Fault) -> Result<(), DrillError> {
+        self.checks.fault(self.start.elapsed(), f);
+        for &i in &f.members {
+            let m = &mut self.members[i];
+            let done = match f.what {
+                What::Kill => {
+                    m.kill();
+                    Ok(())
+                }
+                What::Term => m.signal(Signal::TERM, Life::Ending),
+                What::Stop => m.signal(Signal::STOP, Life::Stopped),
+                What::Continue => m.signal(Signal::CONT, Life::Runs),
+                What::Start => {
+                    self.start_member(i)?;
+                    Ok(())
+                }
+                What::Cut => {
+                    self.relays.change(|links| links.cut.extend(f.to.iter().map(|&to| (i, to))));
+                    Ok(())
+                }
+                What::Split => {
+                    let others = (0..self.members.len()).filter(|o| !f.members.contains(o));
+                    self.relays.change(|links| links.cut.extend(others.flat_map(|o| [(i, o), (o, i)])));
+                    Ok(())
+                }
+                What::Heal | What::RotateKeys | What::DropOldKey => Ok(()),
+            };
+            done.map_err(system(format!("{:?} of member {i}", f.what)))?;
+        }
+        match f.what {
+            What::Heal => self.relays.change(|links| links.cut.clear()),
+            // No member may see what it can't open: first all learn the new key, then all use it.
+            What::RotateKeys => {
+                self.change_keys(&[OLD_KEY, NEW_KEY])?;
+                self.change_keys(&[NEW_KEY, OLD_KEY])?;
+            }
+            What::DropOldKey => self.change_keys(&[NEW_KEY])?,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn change_keys(&mut self, keys: &[&str]) -> Result<(), DrillError> {
+        self.write_keys(keys)?;
+        for m in self.members.iter_mut().filter(|m| m.life == Life::Runs) {
+            m.signal(Signal::HUP, Life::Runs).map_err(system("SIGHUP"))?;
+        }
+        // The signal is taken at once; a log line could tell, but the drill speaks the wire alone.
+        thread::sleep(Duration::from_millis(300));
+        Ok(())
+    }
+
+    /// Asks each member that runs for the fleet as it sees it, and has it serve a request. Whether all agree on who
+    /// runs.
+    fn look(&mut self, started: bool) -> bool {
+        for i in 0..self.members.len() {
+            if let Some(status) = self.members[i].has_crashed() {
+                self.checks.crashed(i, &status);
+            }
+        }
+        let runs: BTreeSet<usize> =
+            (0..self.members.len()).filter(|&i| self.members[i].life == Life::Runs).collect();
+        let at = self.start.elapsed();
+        let asked: Vec<(usize, Answer, Answer)> = thread::scope(|s| {
+            let calls: Vec<_> = runs
+                .iter()
+                .map(|&i| {
+                    let (admin, listen) = (self.members[i].admin, self.members[i].listen);
+                    s.spawn(move || {
+                        (i, http::get(admin, "/members", PATIENCE), http::get(listen, "/x", PATIENCE))
+                    })
+                })
+                .collect();
+            calls.into_iter().filter_map(|c| c.join().ok()).collect()
+        });
+        let mut all = true;
+        for (i, members, served) in asked {
+            let well = matches!(served, Ok((200, _)));
+            if self.ready[i] {
+                self.checks.served(at, i, served);
+            }
+            self.ready[i] |= well;
+            let told: Option<Value> =
+                members.ok().filter(|m| m.0 == 200).and_then(|m| serde_json::from_str(&m.1).ok());
+            let Some(told) = told else {
+                all = false;
+                continue;
+            };
+            let sample = Sample::read(at, i, &told, &self.relays.addresses);
+            let stranger = |m: usize| self.script.strangers.contains(&m);
+            let expected: BTreeSet<usize> =
+                runs.iter().copied().filter(|&m| m == i || (!stranger(m) && !stranger(i))).collect();
+            all &= sample.alive == expected;
+            if started {
+                self.checks.look(sample, &runs);
+            }
+        }
+        all && runs.iter().all(|&i| self.ready[i])
+    }
+}
+
+impl Member {
+    /// Processor time in ms and resident memory in KiB, as the system tells them.
+    fn cost(&self) -> Option<(u64, u64)> {
+        let folder = PathBuf::from(format!("/proc/{}", self.id()?));
+        let stat = std::fs::read_to_string(folder.join("stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit(") ").next()?.split(' ').collect();
+        // User and system time are fields 14 and 15 of the line, in ticks of 10 ms.
+        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let status = std::fs::read_to_string(folder.join("status")).ok()?;
+        let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
+        Some((ticks * 10, line.split_whitespace().nth(1)?.parse().ok()?))
+    }
+}
--- /dev/null
+++ b/crates/drill/src/script.rs
@@ -0,0 +1,203 @@
+//! What a drill does, as it is written.
+
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use thiserror::Error;
+
+/// A drill.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Script {
+    /// For everything that is drawn.
+    #[serde(default)]
+    pub seed: u64,
+    /// Processes, numbered from 0. 1 to 200.
+    pub members: usize,
+    /// Zones, given to members in turn.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// For how long faults may come.
+    #[serde(with = "humantime_text")]
+    pub time: Duration,
+    /// All that run must agree on who is there within this after `time`. Default: what the fleet's times allow.
+    #[serde(default, with = "humantime_option")]
+    pub settle: Option<Duration>,
+    /// Keys of `[fleet]` in the members' files, as they are written there.
+    #[serde(default)]
+    pub fleet: BTreeMap<String, toml::Value>,
+    /// Members that start later than the drill: by a fault "start".
+    #[serde(default)]
+    pub late: Vec<usize>,
+    /// Members that hold another key than the rest.
+    #[serde(default)]
+    pub strangers: Vec<usize>,
+    /// Members, by number, that have another's name.
+    #[serde(default)]
+    pub named_as: BTreeMap<String, String>,
+    /// Every link loses this part of its datagrams from the start.
+    #[serde(default)]
+    pub loss: f64,
+    /// And repeats this part.
+    #[serde(default)]
+    pub twice: f64,
+    /// And delays each by up to this, which has them overtake each other.
+    #[serde(default, with = "humantime_option")]
+    pub delay: Option<Duration>,
+    /// What is done to them.
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+/// One fault, or the end of one.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When, from the time when all that start at once see each other.
+    #[serde(with = "humantime_text")]
+    pub at: Duration,
+    /// What.
+    pub what: What,
+    /// To whom.
+    #[serde(default)]
+    pub members: Vec<usize>,
+    /// Links to these alone ("cut").
+    #[serde(default)]
+    pub to: Vec<usize>,
+}
+
+/// What a fault is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum What {
+    /// SIGKILL.
+    Kill,
+    /// SIGTERM: the member leaves in good order.
+    Term,
+    /// SIGSTOP.
+    Stop,
+    /// SIGCONT.
+    Continue,
+    /// The process is started, anew if it was there.
+    Start,
+    /// Nothing passes from `members` to `to`; the other direction stays.
+    Cut,
+    /// Nothing passes between `members` and all others.
+    Split,
+    /// All links are whole again.
+    Heal,
+    /// All members get a new key first and keep the old one.
+    RotateKeys,
+    /// The old key goes.
+    DropOldKey,
+}
+
+/// What is wrong with a script.
+#[derive(Debug, Error)]
+pub enum ScriptError {
+    /// It can't be read.
+    #[error("{0}")]
+    Read(#[from] std::io::Error),
+    /// It is not as it should be written.
+    #[error("{0}")]
+    Form(#[from] toml::de::Error),
+    /// A value is out of range.
+    #[error("{0}")]
+    Value(String),
+}
+
+impl Script {
+    /// Reads a script.
+    pub fn load(path: &str) -> Result<Script, ScriptError> {
+        Script::parse(&std::fs::read_to_string(path)?)
+    }
+
+    /// Checks the text of a script.
+    pub fn parse(text: &str) -> Result<Script, ScriptError> {
+        let s: Script = toml::from_str(text)?;
+        s.check()?;
+        Ok(s)
+    }
+
+    /// Checks what the form alone does not.
+    pub fn check(&self) -> Result<(), ScriptError> {
+        let s = self;
+        let wrong = |what: String| Err(ScriptError::Value(what));
+        if !(1..=200).contains(&s.members) {
+            return wrong(format!("members: {} is out of range; use 1 to 200", s.members));
+        }
+        for (key, part) in [("loss", s.loss), ("twice", s.twice)] {
+            if !(0.0..1.0).contains(&part) {
+                return wrong(format!("{key}: {part} is out of range; use 0 to below 1"));
+            }
+        }
+        let listed = s.late.iter().chain(&s.strangers);
+        let named = s.faults.iter().flat_map(|f| f.members.iter().chain(&f.to));
+        if let Some(i) = listed.chain(named).find(|&&i| i >= s.members) {
+            return wrong(format!("member {i} is named, and there are {}", s.members));
+        }
+        for (i, f) in s.faults.iter().enumerate() {
+            let whole = matches!(f.what, What::Heal | What::RotateKeys | What::DropOldKey);
+            if whole != f.members.is_empty() {
+                let what = if whole { "takes no members" } else { "needs members" };
+                return wrong(format!("faults[{i}]: {:?} {what}", f.what));
+            }
+            if (f.what == What::Cut) == f.to.is_empty() {
+                return wrong(format!("faults[{i}]: to is for \"cut\", which needs it"));
+            }
+            if f.at > s.time {
+                return wrong(format!("faults[{i}].at is after time"));
+            }
+        }
+        Ok(())
+    }
+}
+
+mod humantime_text {
+    use serde::{de::Error, Deserialize, Deserializer};
+    use std::time::Duration;
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Duration, D::Error> {
+        humantime::parse_duration(&String::deserialize(d)?).map_err(D::Error::custom)
+    }
+}
+
+mod humantime_option {
+    use serde::{de::Error, Deserialize, Deserializer};
+    use std::time::Duration;
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(d: D) -> Result<Option<Duration>, D::Error> {
+        humantime::parse_duration(&String::deserialize(d)?).map(Some).map_err(D::Error::custom)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_wrong_is_told() {
+        let told = |text: &str| Script::parse(text).err().map(|e| e.to_string()).unwrap_or_default();
+        assert_eq!(told("members = 3\ntime = \"1s\""), "");
+        for (text, part) in [
+            ("members = 0\ntime = \"1s\"", "members: 0"),
+            ("members = 3\ntime = \"soon\"", "time"),
+            ("members = 3\ntime = \"1s\"\nloss = 1.5", "loss: 1.5"),
+            ("members = 3\ntime = \"1s\"\nlate = [3]", "member 3 is named"),
+            (
+                "members = 3\ntime = \"1s\"\n[[faults]]\nat = \"0s\"\nwhat = \"kill\"",
+                "faults[0]: Kill needs members",
+            ),
+            (
+                "members = 3\ntime = \"1s\"\n[[faults]]\nat = \"0s\"\nwhat = \"cut\"\nmembers = [0]",
+                "which needs it",
+            ),
+            (
+                "members = 3\ntime = \"1s\"\n[[faults]]\nat = \"2s\"\nwhat = \"heal\"",
+                "faults[0].at is after time",
+            ),
+        ] {
+            assert!(told(text).contains(part), "{text}: {}", told(text));
+        }
+    }
+}
--- /dev/null
+++ b/crates/link/src/bucket.rs
@@ -0,0 +1,50 @@
+//! A bound on a rate.
+
+use garnettally_model::Micros;
+
+/// So much a second, and so much at once.
+pub struct Bucket {
+    rate: u64,
+    burst: u64,
+    /// What may be taken now, in millionths.
+    level: u128,
+    at: Micros,
+}
+
+impl Bucket {
+    /// Full at first.
+    pub fn new(rate: u64, burst: u64, now: Micros) -> Bucket {
+        Bucket { rate, burst, level: u128::from(burst) * 1_000_000, at: now }
+    }
+
+    /// Takes this much, if it is there.
+    pub fn take(&mut self, now: Micros, n: u64) -> bool {
+        let passed = (now - self.at).0.max(0) as u128;
+        self.at = self.at.max(now);
+        self.level = (self.level + passed * u128::from(self.rate)).min(u128::from(self.burst) * 1_000_000);
+        let wanted = u128::from(n) * 1_000_000;
+        let there = wanted <= self.level;
+        if there {
+            self.level -= wanted;
+        }
+        there
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn over_any_time_no_more_passes_than_rate_and_burst() {
+        let mut b = Bucket::new(100, 10, Micros(0));
+        let mut passed = 0;
+        for ms in 0..5_000 {
+            passed += u64::from(b.take(Micros(ms * 1_000), 1));
+        }
+        assert!((500..=510).contains(&passed), "{passed}");
+        // Long silence saves up no more than the burst, and a clock that stands gives nothing.
+        let now = Micros(1_000_000_000);
+        assert_eq!((0..100).filter(|_| b.take(now, 1)).count(), 10);
+    }
+}
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,330 @@
+//! The fleet link in I/O: one UDP socket, the key file, and bounds on what comes and goes (docs/design/fleet.md).
+//!
+//! [`Link`] drives `garnettally_peers` from an event loop that belongs to somebody else: the loop watches
+//! [`Link::socket`], calls [`Link::readable`] and, at [`Link::next_wake`], [`Link::turn`]. No call blocks, and none
+//! works on more than a bounded part of what lies there, so that requests are never kept waiting.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod bucket;
+
+use bucket::Bucket;
+use garnettally_model::Micros;
+use garnettally_peers::{
+    Counts, Event, Identity, Input, Keys, Output, Peers, Settings, State, DATAGRAM_MOST,
+};
+use rand::rngs::SysRng;
+use rand::TryRng;
+use rustix::time::{clock_gettime, ClockId};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// What the operator's file says of the link.
+#[derive(Clone, Debug)]
+pub struct LinkSettings {
+    /// The member, and its times and bounds; with port 0 in its address the system's choice is told to peers.
+    pub member: Settings,
+    /// Where datagrams are taken.
+    pub bind: SocketAddr,
+    /// The keys; without them only loopback addresses are taken.
+    pub key_file: Option<PathBuf>,
+    /// Bytes a second that are sent at the most.
+    pub send_bytes: u64,
+    /// Datagrams a second that are looked at at the most; the rest is dropped unread.
+    pub receive_datagrams: u64,
+}
+
+/// Why there is no link, or no new key.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// The key file can't be read.
+    #[error("fleet.key_file {path}: {source}")]
+    KeyFile {
+        /// Its path.
+        path: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
+    /// The key file holds something else.
+    #[error("fleet.key_file {path}: {source}")]
+    Keys {
+        /// Its path.
+        path: PathBuf,
+        /// What is wrong.
+        source: garnettally_peers::KeyError,
+    },
+    /// The socket can't be had.
+    #[error("fleet.address {address}: {source}")]
+    Bind {
+        /// Where.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+    /// The system has no random numbers.
+    #[error("no random numbers: {0}")]
+    Random(String),
+}
+
+/// Datagrams that one call of [`Link::readable`] takes: some hundred microseconds of work.
+const READ_AT_ONCE: usize = 32;
+/// Bytes that the kernel may hold for us while the loop is busy.
+const SOCKET_BUFFER: usize = 1 << 20;
+
+/// What the link itself dropped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dropped {
+    /// Datagrams that came beyond the rate.
+    pub received: u64,
+    /// Datagrams that were to go beyond the rate.
+    pub unsent: u64,
+    /// Datagrams that the system did not take.
+    pub failed: u64,
+}
+
+/// A member of the fleet on its socket.
+pub struct Link {
+    socket: Rc<UdpSocket>,
+    peers: Peers,
+    key_file: Option<PathBuf>,
+    out: Bucket,
+    inward: Bucket,
+    dropped: Dropped,
+    events: Vec<Event>,
+    buffer: Vec<u8>,
+}
+
+/// The time since the machine started. It goes on while the machine sleeps and while the process is stopped: what was
+/// known before is as old afterwards as it really is.
+fn boot_time() -> Micros {
+    let t = clock_gettime(ClockId::Boottime);
+    Micros(t.tv_sec.saturating_mul(1_000_000).saturating_add(t.tv_nsec / 1_000))
+}
+
+fn read_keys(path: &PathBuf) -> Result<Keys, LinkError> {
+    let text =
+        std::fs::read_to_string(path).map_err(|source| LinkError::KeyFile { path: path.clone(), source })?;
+    Keys::parse(&text).map_err(|source| LinkError::Keys { path: path.clone(), source })
+}
+
+impl Link {
+    /// Reads the keys and takes the address.
+    pub fn open(mut set: LinkSettings) -> Result<Link, LinkError> {
+        let keys = set.key_file.as_ref().map(read_keys).transpose()?;
+        let failed = |source| LinkError::Bind { address: set.bind, source };
+        let socket = bind(set.bind).map_err(failed)?;
+        if set.member.address.port() == 0 {
+            set.member.address.set_port(socket.local_addr().map_err(failed)?.port());
+        }
+        let mut seed = [0; 32];
+        SysRng.try_fill_bytes(&mut seed).map_err(|e| LinkError::Random(e.to_string()))?;
+        let now = boot_time();
+        // A second's worth may go at once: a start, or a zone that goes, is a burst.
+        let out = Bucket::new(set.send_bytes, set.send_bytes.max(4 * DATAGRAM_MOST as u64), now);
+        let inward = Bucket::new(set.receive_datagrams, set.receive_datagrams.max(64), now);
+        Ok(Link {
+            socket: Rc::new(socket),
+            peers: Peers::new(set.member, keys, seed, now),
+            key_file: set.key_file,
+            out,
+            inward,
+            dropped: Dropped::default(),
+            events: Vec::new(),
+            buffer: vec![0; DATAGRAM_MOST + 1],
+        })
+    }
+
+    /// The socket, for the event loop to watch for reading, by level.
+    pub fn socket(&self) -> Rc<UdpSocket> {
+        self.socket.clone()
+    }
+
+    /// Takes some of what has come.
+    pub fn readable(&mut self) {
+        let now = boot_time();
+        for _ in 0..READ_AT_ONCE {
+            let n = match self.socket.recv_from(&mut self.buffer) {
+                Ok((n, _)) => n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => continue,
+                // A peer that is gone may show as an error here; the next call reads on.
+                Err(_) => break,
+            };
+            if self.inward.take(now, 1) {
+                // What is dropped is counted there.
+                let _ = self.peers.handle(now, Input::Datagram(&self.buffer[..n]));
+            } else {
+                self.dropped.received += 1;
+            }
+        }
+        self.flush(now);
+    }
+
+    /// Does what is due.
+    pub fn turn(&mut self) {
+        let now = boot_time();
+        if self.peers.next_timeout() <= now {
+            let _ = self.peers.handle(now, Input::Wake);
+            self.flush(now);
+        }
+    }
+
+    /// When [`Link::turn`] is due.
+    pub fn next_wake(&self) -> Instant {
+        let left = self.peers.next_timeout() - boot_time();
+        Instant::now() + Duration::from_micros(left.0.max(0) as u64)
+    }
+
+    /// Tells peers that this process ends.
+    pub fn leave(&mut self) {
+        let now = boot_time();
+        let _ = self.peers.handle(now, Input::Leave);
+        self.flush(now);
+    }
+
+    /// What has happened since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Reads the key file again; on an error the keys before stay in force.
+    pub fn reread_keys(&mut self) -> Result<(), LinkError> {
+        if let Some(path) = &self.key_file {
+            self.peers.rekey(read_keys(path)?);
+        }
+        Ok(())
+    }
+
+    /// Tells all members something that is so old already; an empty value takes it back. `false`: there is no room.
+    pub fn publish(&mut self, key: &[u8], value: &[u8], age: Duration) -> bool {
+        let age = Micros(age.as_micros().min(i64::MAX as u128) as i64);
+        self.peers.publish(boot_time(), key, value, age)
+    }
+
+    /// What all members say, none older than the bound.
+    pub fn facts(&self) -> impl Iterator<Item = garnettally_peers::Fact<'_>> {
+        self.peers.facts(boot_time())
+    }
+
+    /// How many facts are held.
+    pub fn facts_held(&self) -> usize {
+        self.peers.facts_held()
+    }
+
+    /// This member.
+    pub fn me(&self) -> &Identity {
+        self.peers.me()
+    }
+
+    /// The others, dead ones included for a time.
+    pub fn others(&self) -> impl Iterator<Item = (&Identity, State)> {
+        self.peers.others()
+    }
+
+    /// Members taken to be alive, this one included.
+    pub fn alive(&self) -> u32 {
+        self.peers.alive()
+    }
+
+    /// How large the fleet is taken to be.
+    pub fn size(&self) -> u32 {
+        self.peers.size(boot_time())
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> Counts {
+        self.peers.counts()
+    }
+
+    /// What the link itself dropped.
+    pub fn dropped(&self) -> Dropped {
+        self.dropped
+    }
+
+    fn flush(&mut self, now: Micros) {
+        while let Some(output) = self.peers.poll() {
+            match output {
+                Output::Event(e) => self.events.push(e),
+                Output::Send(to, data) => {
+                    if !self.out.take(now, data.len() as u64) {
+                        self.dropped.unsent += 1;
+                    } else if self.socket.send_to(&data, to).is_err() {
+                        // Nobody there, or no room in the kernel: links lose datagrams, and nothing here waits.
+                        self.dropped.failed += 1;
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
+    socket.set_nonblocking(true)?;
+    // As much as the system allows; less is slower, not wrong.
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
+    socket.bind(&address.into())?;
+    Ok(socket.into())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn settings(name: &str) -> LinkSettings {
+        let here: SocketAddr = ([127, 0, 0, 1], 0).into();
+        LinkSettings {
+            member: Settings::new(name, "", here),
+            bind: here,
+            key_file: None,
+            send_bytes: 1 << 20,
+            receive_datagrams: 10_000,
+        }
+    }
+
+    /// Guards against a loop that is kept by a flood, and against junk that is answered.
+    #[test]
+    fn a_flood_of_junk_is_dropped_unanswered_and_in_parts() {
+        let mut set = settings("a");
+        set.receive_datagrams = 100;
+        let mut link = Link::open(set).unwrap();
+        let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+        stranger.set_nonblocking(true).unwrap();
+        for i in 0..400usize {
+            stranger.send_to(&vec![0x67; i * 3], link.me().address).unwrap();
+        }
+        let mut calls = 0;
+        let total = |l: &Link| l.dropped().received + l.counts().dropped.iter().sum::<u64>();
+        let end = Instant::now() + Duration::from_secs(10);
+        while total(&link) < 400 && Instant::now() < end {
+            let before = total(&link);
+            link.readable();
+            assert!(total(&link) - before <= READ_AT_ONCE as u64);
+            calls += 1;
+        }
+        assert!(
+            total(&link) == 400 && calls >= 400 / READ_AT_ONCE,
+            "{:?} {:?}",
+            link.dropped(),
+            link.counts()
+        );
+        assert!(link.dropped().received > 0, "past the rate nothing is looked at");
+        assert_eq!(stranger.recv_from(&mut [0; 64]).unwrap_err().kind(), ErrorKind::WouldBlock);
+        assert_eq!(link.counts().sent, 0);
+    }
+
+    #[test]
+    fn a_key_file_that_is_wrong_is_named_with_its_line() {
+        let path = std::env::temp_dir().join(format!("garnettally-link-{}.keys", std::process::id()));
+        std::fs::write(&path, "1 no\n").unwrap();
+        let mut set = settings("a");
+        set.key_file = Some(path.clone());
+        let told = Link::open(set).err().unwrap().to_string();
+        assert!(told.starts_with("fleet.key_file") && told.contains("line 1"), "{told}");
+        std::fs::remove_file(path).unwrap();
+    }
+}
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -514,13 +514,13 @@
     fn note_size(&mut self, now: Micros) {
         let n = self.alive();
         let from = now - micros(self.set.size_hold);
-        while self.sizes.front().is_some_and(|(at, _)| *at < from) {
-            self.sizes.pop_front();
-        }
-        // A size was in force until this moment: it is held from now on.
+        // A size was in force until this moment, however long ago it was noted: it is held from now on.
         if let Some(last) = self.sizes.back_mut() {
             last.0 = now;
         }
+        while self.sizes.front().is_some_and(|(at, _)| *at < from) {
+            self.sizes.pop_front();
+        }
         while self.sizes.back().is_some_and(|(_, m)| *m <= n) {
             self.sizes.pop_back();
         }
--- a/crates/peers/tests/faults.rs
+++ b/crates/peers/tests/faults.rs
@@ -41,6 +41,8 @@
 fn a_cut_of_30_s_shrinks_no_side_and_heals() {
     let mut net = Net::new(10, 3, plain);
     net.until(20 * SECOND, |n| n.all_see(10)).unwrap();
+    // For longer than the hold: the size in force is noted once, and must not count as old.
+    net.run(100 * SECOND);
     net.split(&[0, 1, 2]);
     net.run(30 * SECOND);
     assert_eq!((net.alive(0), net.alive(9)), (3, 7));
--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -25,6 +25,8 @@
     Health,
     /// `GET /stats`: the figures.
     Stats,
+    /// `GET /members`: the fleet, where there is one.
+    Members,
     /// `PUT /healthcheck/fail`: the drain begins.
     Fail,
     /// `PUT /healthcheck/ok`: the drain ends.
@@ -42,9 +44,12 @@
     match (method, path) {
         ("GET" | "HEAD", "/healthcheck") => Call::Health,
         ("GET" | "HEAD", "/stats") => Call::Stats,
+        ("GET" | "HEAD", "/members") => Call::Members,
         ("PUT" | "POST", "/healthcheck/fail") => Call::Fail,
         ("PUT" | "POST", "/healthcheck/ok") => Call::Ok,
-        (_, "/healthcheck" | "/stats" | "/healthcheck/fail" | "/healthcheck/ok") => Call::WrongMethod,
+        (_, "/healthcheck" | "/stats" | "/members" | "/healthcheck/fail" | "/healthcheck/ok") => {
+            Call::WrongMethod
+        }
         _ => Call::Unknown,
     }
 }
@@ -171,7 +176,11 @@
     /// Writes an answer and ends the sending; the connection is read on until the caller closes.
     fn answer(&mut self, net: &Net, id: ConnId, status: u16, body: &[u8]) {
         let Some(conn) = self.conns.get_mut(&id) else { return };
-        let headers: &[u8] = if body.is_empty() { b"" } else { b"Content-Type: text/plain\r\n" };
+        let headers: &[u8] = match body.first() {
+            None => b"",
+            Some(b'{') => b"Content-Type: application/json\r\n",
+            Some(_) => b"Content-Type: text/plain\r\n",
+        };
         write_answer(&mut conn.output, &Outgoing { status, headers, body, bare_length: None }, true);
         // It lingers once more as long, so that a late answer such as the 408 arrives before the close.
         (conn.answered, conn.since) = (true, Instant::now());
@@ -265,6 +274,10 @@
             Call::Health if self.ready() => (200, b"ok\n".to_vec()),
             Call::Health => (503, b"no\n".to_vec()),
             Call::Stats => (200, self.stats_text(now).into_bytes()),
+            Call::Members => match &self.fleet {
+                Some(fleet) => (200, fleet.json().to_string().into_bytes()),
+                None => (404, Vec::new()),
+            },
             Call::Fail => {
                 if self.admin.failed_at.is_none() {
                     info!(self.net.log, "drained by an operator");
@@ -295,7 +308,11 @@
             gauges.members += members;
             gauges.members_unavailable += unavailable;
         }
-        self.stats.render(gauges)
+        let mut text = self.stats.render(gauges);
+        if let Some(fleet) = &self.fleet {
+            fleet.stats(&mut text);
+        }
+        text
     }
 }
 
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -3,7 +3,8 @@
 //! A request goes once from left to right: `callers` (listeners and their connections) read it with the codec `http`,
 //! `admission` finds its route, class and pool, `exchange` keeps its life, `pools` ask their modules, and `upstreams`
 //! carry its attempts. `source` and `discovery` say where the nodes are, `lease` what connections and requests hold
-//! of the limits, `plan` what is to be served at all, `reload` what has changed of it, and `shutdown` how it ends.
+//! of the limits, `plan` what is to be served at all, `reload` what has changed of it, and `shutdown` how it ends. `fleet`, where the
+//! operator's file has it, is the link to the other balancers.
 //! [`Proxy`] is the state that the event loop hands to each of them.
 #![forbid(unsafe_code)]
 
@@ -12,6 +13,7 @@
 mod callers;
 mod discovery;
 mod exchange;
+mod fleet;
 mod http;
 mod lease;
 pub mod plan;
@@ -86,6 +88,8 @@
     reload: reload::Reloads,
     shutdown: shutdown::Shutdown,
     admin: admin::Admin,
+    /// Only where the operator's file has `[fleet]`.
+    fleet: Option<fleet::Fleet>,
     stats: stats::Stats,
     next_sweep: Instant,
 }
@@ -226,6 +230,7 @@
         reload: reload::Reloads::new(plan.reload),
         shutdown: shutdown::Shutdown::default(),
         admin: admin::Admin::default(),
+        fleet: None,
         stats: stats::Stats::default(),
         next_sweep: now,
         net,
@@ -236,6 +241,9 @@
             .listen(&proxy.net, address)
             .map_err(|e| format!("can't listen on {address} (admin): {e}"))?;
     }
+    if let Some(settings) = plan.fleet {
+        proxy.fleet = Some(fleet::Fleet::start(&proxy.net, settings)?);
+    }
     for pool in &plan.pools {
         pool.site.names.classes().iter().for_each(|c| proxy.stats.know_class(c));
     }
@@ -258,6 +266,9 @@
         events.dispatch(wait, &mut proxy).map_err(|e| format!("event loop: {e}"))?;
         proxy.turn(Instant::now());
     }
+    if let Some(fleet) = &mut proxy.fleet {
+        fleet.leave();
+    }
     proxy.admin.stop(&proxy.net);
     info!(proxy.net.log, "nothing is owed any more");
     Ok(())
@@ -284,6 +295,9 @@
         self.resume_discarding();
         self.continue_shutdown(now);
         self.consult(now);
+        if let Some(fleet) = &mut self.fleet {
+            fleet.turn(&self.net);
+        }
     }
 
     fn next_wake(&self) -> Option<Instant> {
@@ -302,6 +316,7 @@
             // loop would spin for the whole drain.
             self.admin.failed_at.map(|at| at + self.net.limits.drain_idle).filter(|&at| at > Instant::now()),
             self.next_consultation(),
+            self.fleet.as_ref().map(|f| f.next_wake()),
         ];
         wakes.into_iter().flatten().min()
     }
--- a/crates/serve/src/plan.rs
+++ b/crates/serve/src/plan.rs
@@ -3,7 +3,7 @@
 use crate::upstreams::Terms;
 use crate::Limits;
 use garnettally_config::file::format::LogRequests;
-use garnettally_config::file::{Basis, Listener, Nodes, Operator, Pool};
+use garnettally_config::file::{Basis, Fleet, Listener, Nodes, Operator, Pool};
 use garnettally_config::platform::Config;
 use garnettally_model::{HostList, Site};
 use garnettally_routing::budget::{HolderId, Share};
@@ -35,6 +35,8 @@
     pub reload: Reload,
     /// Where operators call.
     pub admin: Option<SocketAddr>,
+    /// The other balancers; `None`: nothing is shared with any, and no socket is opened for it.
+    pub fleet: Option<Fleet>,
 }
 
 /// How a request finds its class and pool.
@@ -123,6 +125,8 @@
             log_requests: if config.debug { LogRequests::All } else { LogRequests::None },
             reload: Reload::Platform(config.discovery_in_file),
             admin: config.admin,
+            // The platform's pages say that balancers share nothing.
+            fleet: None,
         }
     }
 
@@ -137,9 +141,10 @@
             requests: operator.requests,
             pins: operator.pins,
             log_requests: operator.logging.requests,
+            admin: operator.admin,
+            fleet: operator.fleet.take(),
             guide: Guide::Routes(Box::new(operator)),
             reload: Reload::File(path),
-            admin: None,
         }
     }
 }
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -13,7 +13,7 @@
 use garnettally_config::file::{self, Operator};
 use garnettally_config::platform::Config;
 use garnettally_routing::budget::HolderId;
-use slog::{error, info};
+use slog::{error, info, warn};
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -239,6 +239,11 @@
                 self.leave_listener(*id);
             }
         }
+        if let Some(fleet) = &mut self.fleet {
+            fleet.reload(&self.net, operator.fleet.as_ref());
+        } else if operator.fleet.is_some() {
+            warn!(self.net.log, "[fleet] is new; that holds from the next start on");
+        }
         self.put_in_force(operator, ids);
         info!(self.net.log, "the new version is in force"; "version" => self.reload.versions,
             "pools_added" => added.join(","), "pools_replaced" => replaced.join(","),
--- a/src/lab.rs
+++ b/src/lab.rs
@@ -1,6 +1,7 @@
-//! The lab's commands: `emulate`, `experiment` and `load`. Nothing here is reached from `serve`.
+//! The lab's commands: `emulate`, `experiment`, `load` and `drill`. Nothing here is reached from `serve`.
 
 use clap::Args;
+use garnettally_drill::Script;
 use garnettally_emulator::day;
 use garnettally_emulator::policy::Kind;
 use garnettally_emulator::world::World;
@@ -202,3 +203,50 @@
         }
     }
 }
+
+/// A drill of a fleet by a script.
+#[derive(Args)]
+pub struct Drill {
+    /// The script
+    script: PathBuf,
+    /// Keep files, logs, `samples.csv` and `alive.svg` in this folder; else they are gone afterwards
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// Draw by this seed instead of the script's
+    #[arg(long)]
+    seed: Option<u64>,
+    /// So many members instead of the script's
+    #[arg(long)]
+    members: Option<usize>,
+}
+
+impl Drill {
+    /// The table and timeline; a broken invariant is a failure.
+    pub fn run(&self) -> Result<String, String> {
+        let file = self.script.display();
+        let text = std::fs::read_to_string(&self.script).map_err(|e| format!("{file}: {e}"))?;
+        let mut script = Script::parse(&text).map_err(|e| format!("{file}: {e}"))?;
+        script.seed = self.seed.unwrap_or(script.seed);
+        if let Some(n) = self.members {
+            script.members = n;
+            script.check().map_err(|e| format!("{file}, with {n} members: {e}"))?;
+        }
+        let program = std::env::current_exe().map_err(|e| format!("this program's path: {e}"))?;
+        let own = std::env::temp_dir().join(format!("garnettally-drill-{}", std::process::id()));
+        let folder = self.out.as_ref().unwrap_or(&own);
+        let held = garnettally_drill::run(&script, &program, folder).map_err(|e| e.to_string());
+        let report = held.and_then(|report| match &self.out {
+            Some(out) => report.keep(out).map(|()| report),
+            None => Ok(report),
+        });
+        if self.out.is_none() {
+            let _ = std::fs::remove_dir_all(&own);
+        }
+        let report = report?;
+        if report.passed() {
+            Ok(report.text())
+        } else {
+            Err(format!("an invariant was broken\n{}", report.text()))
+        }
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod lab;
 mod logging;
+mod members;
 
 use calloop::signals::{Signal, Signals};
 use clap::{CommandFactory, Parser, Subcommand};
@@ -64,6 +65,9 @@
     Fleet(demo::Fleet),
     /// Put a load on any HTTP/1.1 service, and check that each request gets one answer
     Load(lab::Load),
+    Members(members::Members),
+    /// Hold a drill: several processes, a relay on every link between them, faults by a script, checks from outside
+    Drill(lab::Drill),
     /// Print name and version
     Version,
 }
@@ -109,6 +113,8 @@
         Some(Command::Agree(agree)) => print(&agree.run()?),
         Some(Command::Fleet(fleet)) => print(&fleet.run()?),
         Some(Command::Load(load)) => print(&load.run()?),
+        Some(Command::Members(members)) => print(&members.run()?),
+        Some(Command::Drill(drill)) => print(&drill.run()?),
         Some(Command::Version) => print(concat!("garnettally ", env!("CARGO_PKG_VERSION"), "\n")),
     }
 }
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,172 @@
+//! Several processes as one fleet: drills with faults between them, what operators ask, and that nothing of it is
+//! there where it was not asked for.
+
+mod support;
+
+use std::process::{Command, Output, Stdio};
+use support::*;
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_garnettally")).args(args).stdin(Stdio::null()).output().unwrap()
+}
+
+fn text(out: &Output) -> String {
+    format!("{}{}", String::from_utf8_lossy(&out.stdout), String::from_utf8_lossy(&out.stderr))
+}
+
+/// Holds one of the drills that operators get.
+fn drill(name: &str, invariants: &[&str]) {
+    let script = format!("{}/deploy/drills/{name}.toml", env!("CARGO_MANIFEST_DIR"));
+    let out = run(&["drill", &script]);
+    let told = text(&out);
+    assert!(out.status.success(), "{told}");
+    for invariant in invariants {
+        assert!(told.contains(invariant), "{invariant:?} was not tried: {told}");
+    }
+}
+
+const ALWAYS: &str = "all agree after the last fault";
+const SERVED: &str = "each request is served";
+const INNOCENT: &str = "nobody without a fault is taken for dead";
+const NOTICED: &str = "each death is noticed by all";
+const SIZE: &str = "no size below what is held";
+
+#[test]
+fn a_death_a_leave_a_standstill_and_a_return() {
+    drill("deaths", &[ALWAYS, SERVED, INNOCENT, NOTICED, SIZE, "who was taken for dead knows it"]);
+}
+
+#[test]
+fn a_zone_that_is_cut_off_shrinks_nobodys_fleet() {
+    drill("zone-cut", &[ALWAYS, SERVED, INNOCENT, SIZE]);
+}
+
+#[test]
+fn links_cut_one_way_kill_nobody() {
+    drill("one-way", &[ALWAYS, SERVED, INNOCENT, SIZE]);
+}
+
+#[test]
+fn a_third_of_the_datagrams_lost_and_the_rest_in_disorder() {
+    drill("loss", &[ALWAYS, SERVED, NOTICED, SIZE]);
+}
+
+#[test]
+fn most_die_at_once_and_come_back() {
+    drill("most-die", &[ALWAYS, SERVED, INNOCENT, NOTICED]);
+}
+
+#[test]
+fn keys_change_strangers_stay_out_and_names_clash() {
+    drill(
+        "keys",
+        &[ALWAYS, SERVED, INNOCENT, "strangers stay outside", "two of one name are reported by all"],
+    );
+}
+
+#[test]
+fn a_planned_restart_of_all() {
+    drill("rolling", &[ALWAYS, SERVED, NOTICED]);
+}
+
+/// The checks have to be able to fail: members that never meet, a cut that stays, a death that is noticed too late.
+#[test]
+fn drills_of_a_broken_fleet_fail() {
+    let fast =
+        "[fleet]\nprobe_period = \"100ms\"\nsuspicion = \"600ms\"\nask_every = \"50ms\"\nmax_age = \"2s\"\n";
+    let top = "members = 3\ntime = \"3s\"\nsettle = \"1s\"\n";
+    let cut = "[[faults]]\nat = \"0s\"\nwhat = \"split\"\nmembers = [0]\n";
+    let slow = fast.replace("suspicion = \"600ms\"", "suspicion = \"50s\"\nforget_after = \"5m\"");
+    let kill = "[[faults]]\nat = \"0s\"\nwhat = \"kill\"\nmembers = [0]\n";
+    for (what, script, broken) in [
+        ("stays cut", format!("{top}{fast}{cut}"), ALWAYS),
+        ("never notices", format!("{top}{slow}{kill}"), NOTICED),
+    ] {
+        let file = config_file(&script);
+        let out = run(&["drill", &file]);
+        assert_eq!(out.status.code(), Some(1), "{what}: {}", text(&out));
+        assert!(text(&out).contains(broken) && text(&out).contains("drill failed"), "{what}: {}", text(&out));
+    }
+    let out = run(&["drill", &config_file("members = 0\ntime = \"1s\"")]);
+    assert!(text(&out).contains("members: 0 is out of range"), "{}", text(&out));
+}
+
+const ALONE: &str = r#"version = 1
+[listeners.main]
+address = "LISTEN"
+[classes.any]
+repeat = "safe"
+aim = "1s"
+deadline = "2s"
+[pools.web]
+nodes = [{ name = "n", address = "127.0.0.1:9" }]
+[[routes]]
+name = "all"
+path_prefix = "/"
+class = "any"
+pool = "web"
+"#;
+
+/// Datagram sockets and threads of a process.
+fn sockets_and_threads(pid: u32) -> (usize, usize) {
+    let mut inodes = Vec::new();
+    for table in ["udp", "udp6"] {
+        let text = std::fs::read_to_string(format!("/proc/{pid}/net/{table}")).unwrap_or_default();
+        inodes.extend(text.lines().skip(1).filter_map(|l| l.split_whitespace().nth(9).map(str::to_string)));
+    }
+    let links = std::fs::read_dir(format!("/proc/{pid}/fd")).unwrap();
+    let links = links.filter_map(|f| std::fs::read_link(f.ok()?.path()).ok());
+    let ours = links.filter(|l| inodes.iter().any(|i| l.to_string_lossy() == format!("socket:[{i}]")));
+    (ours.count(), std::fs::read_dir(format!("/proc/{pid}/task")).unwrap().count())
+}
+
+/// Guards against a link on the platform, where balancers share nothing, or wherever no file asks for one.
+#[test]
+fn without_the_table_there_is_no_socket_no_thread_and_no_figure() {
+    let discovery = Discovery::start();
+    let up = Upstream::start(|_| ok("x"));
+    let platform = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let (sockets, threads) = sockets_and_threads(platform.child.id());
+    assert_eq!(sockets, 0, "a datagram socket on the platform");
+    let admin = free_address();
+    let plain = Operated::start(&format!("{ALONE}[admin]\naddress = \"{admin}\"\n"));
+    assert_eq!(sockets_and_threads(plain.child.id()), (0, threads));
+    let refused = run(&["members", &admin.to_string()]);
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(text(&refused).contains("no [fleet] in its file"), "{}", text(&refused));
+    let stats = Client::connect(admin).unwrap().ask("GET /stats HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(!String::from_utf8_lossy(&stats.body).contains("fleet"));
+    // The check has to be able to see one.
+    let admin = free_address();
+    let fleet = "[fleet]\naddress = \"127.0.0.1:0\"\nname = \"alone\"\n";
+    let member = Operated::start(&format!("{ALONE}[admin]\naddress = \"{admin}\"\n{fleet}"));
+    assert_eq!(sockets_and_threads(member.child.id()), (1, threads), "a socket, and still no thread");
+    let table = text(&run(&["members", &admin.to_string()]));
+    assert!(table.contains("alone") && table.contains("self") && table.contains("1 alive"), "{table}");
+    let json: serde_json::Value =
+        serde_json::from_slice(&run(&["members", "--json", &admin.to_string()]).stdout).unwrap();
+    assert_eq!((&json["alive"], &json["members"][0]["state"]), (&1.into(), &"self".into()));
+    let stats = Client::connect(admin).unwrap().ask("GET /stats HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(String::from_utf8_lossy(&stats.body).contains("edge_gw.fleet.members_alive:1|g"));
+}
+
+/// Guards against a key file that is damaged while running: the keys before stay in force, and it is told.
+#[test]
+fn a_damaged_key_file_changes_nothing() {
+    let keys = config_file(&format!("1 {}\n", "ab".repeat(32)));
+    let admin = free_address();
+    let fleet = format!("[fleet]\naddress = \"127.0.0.1:0\"\nname = \"a\"\nkey_file = \"{keys}\"\n");
+    let file = format!("{ALONE}[admin]\naddress = \"{admin}\"\n{fleet}");
+    let member = Operated::start(&file);
+    std::fs::write(&keys, "1 not a key\n").unwrap();
+    member.reload(&file);
+    until("the complaint", || member.logged("the fleet's keys before stay in force") == 1);
+    assert!(member.log().contains("line 1"), "{}", member.log());
+    std::fs::write(&keys, format!("2 {}\n", "cd".repeat(32))).unwrap();
+    member.reload(&file);
+    assert_eq!(member.logged("the fleet's keys before stay in force"), 1);
+    // A start with a damaged file is refused, and names key and line.
+    std::fs::write(&keys, "1 not a key\n").unwrap();
+    let mut refused = Operated::spawn(&file.replace(&admin.to_string(), &free_address().to_string()));
+    assert!(!refused.balancer.wait().success());
+}
