Share what members find out about nodes, and let three of them try a sick one for all

Need: with 300 balancers each pays by itself to learn that a node hangs or errs, and each sends its own trial.

--- a/crates/config/src/file/fleet.rs
+++ b/crates/config/src/file/fleet.rs
@@ -120,7 +120,7 @@
             );
         }
         let ask_every = self.time(&key.key("ask_every"), f.ask_every.as_ref(), 200 * ms, 5 * ms);
-        let max_age = self.time(&key.key("max_age"), f.max_age.as_ref(), 10 * second, 10 * ms);
+        let max_age = self.time(&key.key("max_age"), f.max_age.as_ref(), 20 * second, 10 * ms);
         if max_age < ASKINGS * ask_every {
             let what = format!(
                 "fleet.max_age {max_age:?} is shorter than {ASKINGS} times fleet.ask_every {ask_every:?}"
--- a/crates/config/src/file/format.rs
+++ b/crates/config/src/file/format.rs
@@ -172,7 +172,7 @@
     /// So many peers, beside one by chance. Default: 3. 1 to 16.
     #[serde(default)]
     pub ask_peers: Option<usize>,
-    /// What peers said is void when it is so old. Default: "10s". No less than ten times `ask_every`.
+    /// What peers said is void when it is so old. Default: "20s". No less than ten times `ask_every`.
     #[serde(default)]
     pub max_age: Option<Time>,
     /// Members that are known at the most. Default: 4096. 2 to 65536.
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -2,7 +2,9 @@
 //! came of it, and [`tick`](Decisions::tick) when it is due. Network code sees these types alone.
 
 use crate::rules::Balancer;
-use garnettally_model::{Action, Event, Form, HostList, Load, Names, NewRequest, Outcome, Site};
+use garnettally_model::{
+    Action, Event, Form, Hearsay, HostList, Load, Names, NewRequest, Opinion, Outcome, Site,
+};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
@@ -51,6 +53,8 @@
     Known(HostList),
     /// News of the upstreams.
     Hosts(HostList),
+    /// What other instances have found out about an upstream.
+    Heard(Hearsay),
     /// The watch that was asked for could not be had, or has ended.
     WatchFailed,
 }
@@ -109,6 +113,11 @@
         Decisions { balancer, names, effects, due: BinaryHeap::new(), actions: Vec::new() }
     }
 
+    /// The names of the classes, in the order of their numbers.
+    pub fn classes(&self) -> &[String] {
+        self.names.classes()
+    }
+
     /// The class of this name, and what a repeat of it does.
     pub fn class(&self, name: &str) -> Option<(ClassId, Effect)> {
         let class = self.names.class(name)?;
@@ -166,6 +175,7 @@
                 load: held.map(|held| Load { held: Some(held) }),
             }),
             Report::Gone(request) => Event::Gone(request),
+            Report::Heard(heard) => Event::Hearsay(heard),
             Report::Known(list) => return self.hosts(now, Form::Cached, &list),
             Report::Hosts(list) => {
                 let form = if list.whole { Form::Full } else { Form::Delta };
@@ -176,6 +186,42 @@
         self.handle(now, event)
     }
 
+    /// What this instance has found out by its own calls, by upstream: of those that it has had doubts about.
+    pub fn opinions(&self) -> Vec<Opinion> {
+        let mut all = Vec::new();
+        for s in self.balancer.servers().iter().filter(|s| s.news.state == Listed::Ready) {
+            for (key, m) in s.marks.iter().enumerate() {
+                let own = m.own && m.ejected_until.is_some();
+                all.push(Opinion {
+                    server: s.news.server,
+                    since: s.news.since,
+                    class: key.checked_sub(1).map(|c| ClassId(c as u32)),
+                    // While it is ejected it is as bad as what it was ejected for, at the least.
+                    bad: if own { m.bad.max(0.5) } else { 0.0 },
+                    unreachable: s.shut,
+                    at: s.last_end,
+                    ok_at: s.last_ok,
+                });
+            }
+        }
+        all
+    }
+
+    /// When an upstream last started, as its list says.
+    pub fn started(&self, id: ServerId) -> Option<Micros> {
+        self.balancer.servers().get(id.0 as usize)?.news.since
+    }
+
+    /// How many upstreams were ever met; they are numbered from 0.
+    pub fn met(&self) -> usize {
+        self.balancer.servers().len()
+    }
+
+    /// How many upstreams are listed as ready.
+    pub fn ready(&self) -> usize {
+        self.balancer.servers().iter().filter(|s| s.news.state == Listed::Ready).count()
+    }
+
     /// Lets time pass, if it is due.
     pub fn tick(&mut self, now: Micros) -> Vec<Decision> {
         let mut due = false;
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -230,6 +230,7 @@
             Event::Request(new) => self.admit(new, actions),
             Event::Outcome(outcome) => self.outcome(outcome, actions),
             Event::Gone(id) => self.over(id, actions),
+            Event::Hearsay(heard) => self.hear(heard, actions),
             Event::Timer(_) => {}
         }
         self.drain_held(actions);
@@ -790,7 +791,7 @@
             Some(until) => {
                 let safe = matches!(self.set.classes[class].effect, Effect::Safe);
                 let due = until + if safe { Micros(0) } else { doubled(self.back_off(), m.strikes) };
-                self.now >= due && !m.trial && s.flights.is_empty()
+                self.now >= due && !m.trial && s.flights.is_empty() && (m.heard == 0.0 || m.tries)
             }
         })
     }
@@ -835,7 +836,9 @@
             (s.doubted, self.stale) = (false, true);
         } else if s.doubted && o.code == Code::ConnectFailed {
             let out = now + doubled(first, EJECT_DOUBLINGS);
-            s.marks[0] = Mark { bad: 1.0, ejected_until: Some(out), strikes: EJECT_DOUBLINGS, trial: false };
+            let struck =
+                Mark { bad: 1.0, ejected_until: Some(out), strikes: EJECT_DOUBLINGS, ..Mark::default() };
+            s.marks[0] = Mark { own: true, ..struck };
         }
         for m in marks_of(s, class) {
             let was = m.ejected_until.is_some();
@@ -882,9 +885,11 @@
             sum.resize(sum.len().max(s.marks.len()), 0.0);
             ejected += usize::from(s.marks.iter().any(|m| m.ejected_until.is_some()));
             for (key, m) in s.marks.iter().enumerate() {
-                sum[key] += m.bad;
-                if m.ejected_until.is_none() && m.bad >= BAD_EJECT {
-                    hot.push((m.bad, s.news.server.0 as usize, key, doubled(self.back_off(), m.strikes)));
+                // Own fresh experience goes before hearsay.
+                let bad = if m.heard_at > s.last_ok { m.bad.max(m.heard) } else { m.bad };
+                sum[key] += bad;
+                if m.ejected_until.is_none() && bad >= BAD_EJECT {
+                    hot.push((bad, s.news.server.0 as usize, key, doubled(self.back_off(), m.strikes)));
                 }
             }
         }
@@ -899,6 +904,7 @@
             }
             let m = &mut self.servers[server].marks[key];
             (m.ejected_until, m.strikes) = (Some(self.now + wait), m.strikes + 1);
+            m.own = m.bad >= BAD_EJECT;
             ejected += usize::from(more);
             self.stale = true;
             if m.strikes == 1 {
@@ -908,6 +914,26 @@
         }
     }
 
+    /// What others found counts like an own score, under the same cap. A few of those that found it try the
+    /// server for all; with their word that it is well, or when it grows old, it is back without a trial.
+    fn hear(&mut self, h: Hearsay, actions: &mut Vec<Action>) {
+        let key = h.class.map_or(0, |c| c.0 as usize + 1);
+        let Some(s) = self.servers.get_mut(h.server.0 as usize) else { return };
+        s.marks.resize(s.marks.len().max(key + 1), Mark::default());
+        let m = &mut s.marks[key];
+        if h.bad == 0.0 && m.heard > 0.0 && !m.tries {
+            (m.bad, m.ejected_until, m.trial) = (0.0, None, false);
+            self.stale = true;
+        }
+        (m.heard, m.heard_at, m.tries) = (h.bad, h.at, h.tries);
+        self.eject(actions);
+    }
+
+    /// The servers, for those who tell others of them.
+    pub fn servers(&self) -> &[Server] {
+        &self.servers
+    }
+
     // ---- membership ----
 
     /// How many servers this instance sends to.
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -32,6 +32,10 @@
     pub ejected_until: Option<Micros>,
     pub strikes: u32,
     pub trial: bool,
+    pub own: bool,  // It was ejected by what was found here
+    pub heard: f64, // What others say of it, since when, and whether this instance tries it for them
+    pub heard_at: Micros,
+    pub tries: bool,
 }
 
 #[derive(Default)]
--- a/crates/drill/src/report.rs
+++ b/crates/drill/src/report.rs
@@ -20,6 +20,9 @@
     pub size: u64,
     pub away: u64,
     pub stalls: u64,
+    /// Verdicts that it goes by, and the age of the oldest that it holds.
+    pub acted_on: u64,
+    pub oldest: Duration,
 }
 
 impl Sample {
@@ -33,7 +36,10 @@
         }
         let number = |key: &str| told[key].as_u64().unwrap_or(0);
         let (size, away, stalls) = (number("size"), number("away"), number("stalls"));
-        Sample { at, member, alive, down, size, away, stalls }
+        let ages = told["verdicts"].as_array().into_iter().flatten().filter_map(|v| v["age_ms"].as_u64());
+        let oldest = Duration::from_millis(ages.max().unwrap_or(0));
+        let acted_on = number("acted_on");
+        Sample { at, member, alive, down, size, away, stalls, acted_on, oldest }
     }
 }
 
@@ -82,6 +88,12 @@
     sizes: BTreeMap<usize, Vec<(Duration, u64)>>,
     aways: BTreeMap<usize, u64>,
     stalls: BTreeMap<usize, u64>,
+    /// Nodes that are sick now, since when any is, and since when none is.
+    sick: BTreeSet<usize>,
+    turned: Duration,
+    /// All members know of it.
+    known: bool,
+    sick_requests: Vec<u64>,
 }
 
 impl Checks {
@@ -95,6 +107,10 @@
             sizes: BTreeMap::new(),
             aways: BTreeMap::new(),
             stalls: BTreeMap::new(),
+            sick: BTreeSet::new(),
+            turned: Duration::ZERO,
+            known: true,
+            sick_requests: Vec::new(),
         }
     }
 
@@ -153,12 +169,31 @@
     }
 
     pub fn served(&mut self, at: Duration, i: usize, got: Result<(u16, String), String>) {
+        // While nodes are sick some requests fail, with the longest time of a request until they do.
+        let nodes_fail = self.script.faults.iter().any(|f| f.what.of_nodes());
+        if nodes_fail && (!self.sick.is_empty() || at < self.turned + Duration::from_secs(3)) {
+            return;
+        }
         let check = self.check("each request is served");
         check.hold(matches!(got, Ok((200, _))), || format!("{at:.2?} m{i}: {got:?}"));
     }
 
     pub fn fault(&mut self, at: Duration, f: &Fault) {
         self.faults.push((at, f.clone()));
+        if f.what.of_nodes() {
+            let before = self.sick.clone();
+            match f.what {
+                What::MendNodes => f.members.iter().for_each(|n| {
+                    self.sick.remove(n);
+                }),
+                _ => self.sick.extend(&f.members),
+            }
+            if !self.known {
+                self.never_came(!before.is_empty());
+            }
+            (self.turned, self.known) = (at, false);
+            return;
+        }
         let bound = match f.what {
             What::Kill => self.noticed_within(),
             // It is told, and need not be found out.
@@ -174,7 +209,7 @@
     fn innocent(&self, a: usize, b: usize) -> bool {
         self.script.loss == 0.0
             && [a, b].iter().all(|i| !self.script.strangers.contains(i))
-            && self.script.faults.iter().all(|f| {
+            && self.script.faults.iter().filter(|f| !f.what.of_nodes()).all(|f| {
                 let (has_a, has_b) = (f.members.contains(&a), f.members.contains(&b));
                 match f.what {
                     What::Split => has_a == has_b,
@@ -219,10 +254,57 @@
         let size = s.size;
         self.check("no size below what is held")
             .hold(size >= least, || format!("{at:.2?}: m{i} {size} < {least}"));
+        let max_age = self.time("max_age", Duration::from_secs(20));
+        // Ages are told by the member, in whole milliseconds, and rounded up once a hop.
+        self.check("no verdict is held past its age").within(s.oldest, max_age, "the oldest");
         self.aways.insert(i, s.away);
         self.stalls.insert(i, s.stalls);
         self.samples.push(s);
         self.notice(at, runs);
+        self.verdicts(at, runs, max_age);
+    }
+
+    /// Whether all that run go by a verdict while a node is sick, and by none when all are well again.
+    fn verdicts(&mut self, at: Duration, runs: &BTreeSet<usize>, max_age: Duration) {
+        let last: BTreeMap<usize, (Duration, u64)> = self
+            .samples
+            .iter()
+            .rev()
+            .take(2 * self.script.members)
+            .rev()
+            .map(|s| (s.member, (s.at, s.acted_on)))
+            .collect();
+        let sick = !self.sick.is_empty();
+        let turned = self.turned;
+        let agrees = |m: &usize| last.get(m).is_some_and(|&(at, n)| at > turned && (n > 0) == sick);
+        if self.known || !runs.iter().all(agrees) {
+            return;
+        }
+        self.known = true;
+        if sick {
+            // Found by two members: an answer that is overdue, or two errors, by each; then it spreads.
+            let bound = Duration::from_secs(8);
+            self.check("all go by a verdict on a sick node").within(at - turned, bound, "it");
+        } else {
+            let bound = max_age + Duration::from_secs(2);
+            self.check("no verdict is left on a node that is well").within(at - turned, bound, "it");
+        }
+    }
+
+    /// Requests that nodes got while they were sick.
+    pub fn nodes(&mut self, sick: Vec<u64>) {
+        self.sick_requests = sick;
+        if !self.known {
+            self.never_came(!self.sick.is_empty());
+        }
+    }
+
+    fn never_came(&mut self, sick: bool) {
+        let name = match sick {
+            true => "all go by a verdict on a sick node",
+            false => "no verdict is left on a node that is well",
+        };
+        self.check(name).hold(false, || "it never came to that".into());
     }
 
     /// Which deaths all that run know by now, by their last looks.
@@ -294,6 +376,7 @@
             datagrams_a_second: datagrams as f64 / seconds / members,
             cpu_percent: mean(|c| c.0) as f64 / 10.0 / seconds,
             memory_kb: mean(|c| c.1),
+            sick_requests: self.sick_requests.iter().sum(),
         }
     }
 }
@@ -311,6 +394,7 @@
     datagrams_a_second: f64,
     cpu_percent: f64,
     memory_kb: u64,
+    sick_requests: u64,
 }
 
 impl Report {
@@ -352,6 +436,9 @@
             "\na member: {:.0} bytes/s, {:.1} datagrams/s, {:.1}% of a core, {} KiB; away {} times, stood still {} times",
             self.bytes_a_second, self.datagrams_a_second, self.cpu_percent, self.memory_kb, self.away, self.stalls
         );
+        if self.sick_requests > 0 {
+            let _ = writeln!(out, "requests that nodes got while they were sick: {}", self.sick_requests);
+        }
         let _ = writeln!(out, "{}", if self.passed() { "drill passed" } else { "drill failed" });
         out
     }
@@ -369,7 +456,8 @@
     pub fn keep(&self, folder: &Path) -> Result<(), String> {
         let told = |e: &dyn std::fmt::Display| format!("{}: {e}", folder.display());
         let mut csv = csv::Writer::from_path(folder.join("samples.csv")).map_err(|e| told(&e))?;
-        csv.write_record(["s", "member", "alive", "down", "size", "away", "stalls"]).map_err(|e| told(&e))?;
+        csv.write_record(["s", "member", "alive", "down", "size", "away", "stalls", "acted_on"])
+            .map_err(|e| told(&e))?;
         for s in &self.samples {
             let row = [
                 format!("{:.3}", s.at.as_secs_f64()),
@@ -379,6 +467,7 @@
                 s.size.to_string(),
                 s.away.to_string(),
                 s.stalls.to_string(),
+                s.acted_on.to_string(),
             ];
             csv.write_record(row).map_err(|e| told(&e))?;
         }
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -14,6 +14,12 @@
     pub seed: u64,
     /// Processes, numbered from 0. 1 to 200.
     pub members: usize,
+    /// Stand-in nodes that the members balance over. Default: 1.
+    #[serde(default = "one")]
+    pub nodes: usize,
+    /// Requests that each member gets at once, some ten times a second. Default: 1.
+    #[serde(default = "one")]
+    pub load: usize,
     /// Zones, given to members in turn.
     #[serde(default)]
     pub zones: Vec<String>,
@@ -90,6 +96,23 @@
     RotateKeys,
     /// The old key goes.
     DropOldKey,
+    /// Nodes take requests and answer none. `members` are nodes.
+    HangNodes,
+    /// Nodes answer 500 at once. `members` are nodes.
+    FailNodes,
+    /// Nodes are well again. `members` are nodes.
+    MendNodes,
+}
+
+impl What {
+    /// Whether it befalls nodes.
+    pub fn of_nodes(self) -> bool {
+        matches!(self, What::HangNodes | What::FailNodes | What::MendNodes)
+    }
+}
+
+fn one() -> usize {
+    1
 }
 
 /// What is wrong with a script.
@@ -131,8 +154,19 @@
                 return wrong(format!("{key}: {part} is out of range; use 0 to below 1"));
             }
         }
+        if !(1..=200).contains(&s.nodes) {
+            return wrong(format!("nodes: {} is out of range; use 1 to 200", s.nodes));
+        }
+        if !(1..=64).contains(&s.load) {
+            return wrong(format!("load: {} is out of range; use 1 to 64", s.load));
+        }
+        let of_nodes = s.faults.iter().filter(|f| f.what.of_nodes()).flat_map(|f| &f.members);
+        if let Some(i) = of_nodes.into_iter().find(|&&i| i >= s.nodes) {
+            return wrong(format!("node {i} is named, and there are {}", s.nodes));
+        }
         let listed = s.late.iter().chain(&s.strangers);
-        let named = s.faults.iter().flat_map(|f| f.members.iter().chain(&f.to));
+        let named = s.faults.iter().filter(|f| !f.what.of_nodes());
+        let named = named.flat_map(|f| f.members.iter().chain(&f.to));
         if let Some(i) = listed.chain(named).find(|&&i| i >= s.members) {
             return wrong(format!("member {i} is named, and there are {}", s.members));
         }
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -2,6 +2,7 @@
 
 use crate::draw::Stream;
 use crate::events::Events;
+use crate::fleet::{Fleet, Step};
 use crate::node::{Brought, Build, Node, Thrash};
 use crate::policy::{self, Kind, Policy, Truth, Truths};
 use crate::report::{histogram, latency, Part, Report};
@@ -53,6 +54,10 @@
     Warm(usize),
     /// A node pauses, goes on.
     Pause(usize, bool),
+    /// A datagram reaches a balancer from another.
+    Datagram(usize, Vec<u8>),
+    /// A balancer looks after its link.
+    Link(usize),
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -182,6 +187,7 @@
     pauses: Stream,
     list: Stream,
     reports: Stream,
+    links: Stream,
     /// What clients draw at later tries, which depend on what became of the first.
     retries: Stream,
     /// The work of calls to later tiers, which depend on which of the first tier ran.
@@ -198,6 +204,7 @@
     /// The first node of each tier.
     first: Vec<usize>,
     balancers: Vec<Balancer>,
+    fleet: Option<Fleet>,
     /// The balancer of each node for the next tier.
     below: Vec<usize>,
     calls: FxHashMap<u64, Call>,
@@ -268,6 +275,7 @@
             below: stream("below"),
             list: stream("list"),
             reports: stream("reports"),
+            links: stream("links"),
             retries: stream("retries"),
         };
         let part = |name: &str| Part { name: name.to_string(), ..Part::default() };
@@ -280,6 +288,7 @@
             places: Vec::new(),
             first: Vec::new(),
             balancers: Vec::new(),
+            fleet: None,
             below: Vec::new(),
             calls: FxHashMap::default(),
             attempts: FxHashMap::default(),
@@ -378,6 +387,13 @@
                 self.add_balancer(below, self.places[at].zone, seed, kind, shape);
             }
         }
+        if let Some(link) = &world.fleet {
+            let fleet = Fleet::new(world, link, seed);
+            for (member, at) in fleet.starts().into_iter().enumerate() {
+                self.events.at(at, Event::Link(member));
+            }
+            self.fleet = Some(fleet);
+        }
         let mut s = Stream::new(seed, "faults", 0);
         for (i, f) in world.faults.iter().enumerate() {
             let tier = &world.tiers[world.tier_of(f)];
@@ -536,6 +552,46 @@
             Event::Stop(node) => self.stop(now, node),
             Event::Warm(node) => self.warm(now, node),
             Event::Pause(node, begins) => self.pause(now, node, begins),
+            Event::Datagram(member, data) => {
+                if let Some(step) = self.fleet.as_mut().map(|f| f.datagram(now, member, &data)) {
+                    self.stepped(now, member, step);
+                }
+            }
+            Event::Link(member) => self.link(now, member),
+        }
+    }
+
+    // ---- the balancers among themselves ----
+
+    fn link(&mut self, now: Micros, member: usize) {
+        let Some(fleet) = self.fleet.as_mut().filter(|f| f.is_due(now, member)) else { return };
+        let (policy, places) = (&self.balancers[member].policy, &self.places);
+        let step = fleet.wake(now, member, || policy.opinions(), |id| places[id.0 as usize].since);
+        self.stepped(now, member, step);
+    }
+
+    fn stepped(&mut self, now: Micros, from: usize, step: Step) {
+        let (Some(fleet), Some(link)) = (&self.fleet, &self.world.fleet) else { return };
+        for (to, data) in step.sends {
+            if to >= self.world.tiers[0].balancers {
+                continue;
+            }
+            let (a, b) = (fleet.zone(from), fleet.zone(to));
+            let n = &self.world.network;
+            let way = if a == b { n.within } else { n.between }.draw(&mut self.draws.links);
+            let split = a != b && self.cut.is_some_and(|zone| zone == a || zone == b);
+            // Which links are cut is the same all day, and not the same in both directions.
+            let mut pair = Stream::new(from as u64, "cut", to as u64);
+            let cut = link.cut > 0.0 && pair.unit() < link.cut;
+            if !split && !cut && self.draws.links.unit() >= link.loss {
+                self.events.after(way, Event::Datagram(to, data));
+            }
+        }
+        if let Some(at) = step.wake {
+            self.events.at(at, Event::Link(from));
+        }
+        for heard in step.heard {
+            self.post(now, from, Inbox::News(News::Heard(heard)));
         }
     }
 
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod day;
 pub mod draw;
 pub mod events;
+mod fleet;
 pub mod node;
 pub mod policy;
 pub mod references;
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -2,7 +2,7 @@
 
 use crate::references::{Reference, Rule};
 use garnettally_decisions::facade::{Ask, Decision, Decisions, Micros, Report};
-use garnettally_model::{Listed, Settings, Site};
+use garnettally_model::{Listed, Opinion, Settings, Site};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -106,6 +106,10 @@
     fn tick(&mut self, now: Micros) -> Vec<Decision>;
     /// When time is to pass next.
     fn next_tick(&self) -> Option<Micros>;
+    /// What it has found out by its own calls. References find out nothing.
+    fn opinions(&self) -> Vec<Opinion> {
+        Vec::new()
+    }
 }
 
 impl Policy for Decisions {
@@ -121,6 +125,9 @@
     fn next_tick(&self) -> Option<Micros> {
         Decisions::next_tick(self)
     }
+    fn opinions(&self) -> Vec<Opinion> {
+        Decisions::opinions(self)
+    }
 }
 
 /// A policy of a kind for one balancer.
--- a/crates/emulator/src/references.rs
+++ b/crates/emulator/src/references.rs
@@ -267,6 +267,8 @@
                 self.list(&list);
                 Vec::new()
             }
+            // References go by what they see themselves.
+            Report::Heard(_) => Vec::new(),
             Report::Gone(id) => {
                 let Some(asked) = self.asked.get(&id) else { return Vec::new() };
                 let attempts = asked.tried.len() as u32;
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -172,6 +172,9 @@
     /// What goes wrong.
     #[serde(default)]
     pub faults: Vec<Fault>,
+    /// The balancers of the first tier share what they find out. Default: they share nothing.
+    #[serde(default)]
+    pub fleet: Option<FleetLink>,
 }
 
 fn one_zone() -> Vec<String> {
@@ -537,6 +540,26 @@
     }
 }
 
+/// The links among the balancers of the first tier. They take the times of the network, and a partition cuts them, too.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FleetLink {
+    /// Each asks some peers for news this often.
+    pub ask_every: Time,
+    /// News is void when it is so old.
+    pub max_age: Time,
+    /// This part of all datagrams is lost.
+    pub loss: f64,
+    /// This part of all links, one direction each, is cut.
+    pub cut: f64,
+}
+
+impl Default for FleetLink {
+    fn default() -> Self {
+        FleetLink { ask_every: time(200), max_age: time(20_000), loss: 0.0, cut: 0.0 }
+    }
+}
+
 /// Something that goes wrong.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -210,6 +210,11 @@
         self.peers.facts(boot_time())
     }
 
+    /// Grows with each fact that is new here.
+    pub fn facts_version(&self) -> u64 {
+        self.peers.facts_version()
+    }
+
     /// How many facts are held.
     pub fn facts_held(&self) -> usize {
         self.peers.facts_held()
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -318,6 +318,40 @@
     pub load: Option<Load>,
 }
 
+/// What other instances have found out about a server, as far as this one is to go by it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hearsay {
+    /// The server.
+    pub server: ServerId,
+    /// For this class alone; `None`: as a whole.
+    pub class: Option<ClassId>,
+    /// How bad it is, 0 to 1; 0: nobody says so any more.
+    pub bad: f64,
+    /// When it was found, at the earliest.
+    pub at: Micros,
+    /// It is this instance that tries whether the server is well again.
+    pub tries: bool,
+}
+
+/// What an instance has found out about a server by its own calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Opinion {
+    /// The server.
+    pub server: ServerId,
+    /// When it last started.
+    pub since: Option<Micros>,
+    /// For this class alone; `None`: as a whole.
+    pub class: Option<ClassId>,
+    /// How bad it is, 0 to 1; 0: it is not ejected, or not by what was found here.
+    pub bad: f64,
+    /// The last call got no connection.
+    pub unreachable: bool,
+    /// When a call last ended there, or was overdue.
+    pub at: Micros,
+    /// When it last answered well.
+    pub ok_at: Micros,
+}
+
 /// What an instance is told.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
@@ -334,6 +368,8 @@
     Outcome(Outcome),
     /// The client went away.
     Gone(RequestId),
+    /// Other instances speak of a server.
+    Hearsay(Hearsay),
     /// A timer is due.
     Timer(u64),
 }
--- a/crates/peers/src/facts.rs
+++ b/crates/peers/src/facts.rs
@@ -152,6 +152,11 @@
         })
     }
 
+    /// Grows with each that is new here.
+    pub fn version(&self) -> u64 {
+        self.next
+    }
+
     pub fn len(&self) -> usize {
         self.all.len()
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -75,7 +75,7 @@
             ask_every: Duration::from_millis(200),
             ask_peers: 3,
             ask_timeout: Duration::from_secs(1),
-            max_age: Duration::from_secs(10),
+            max_age: Duration::from_secs(20),
             facts_most: 8192,
             members_most: 4096,
             size_floor: 1,
@@ -169,6 +169,9 @@
     /// The fixed ones of those that are asked.
     neighbours: Vec<(u64, SocketAddr)>,
     ask_at: Micros,
+    /// Up to which fact peers were told that there is news, and when they may be told again.
+    hinted: u64,
+    hint_at: Micros,
     seed_at: Micros,
     tidy_at: Micros,
     /// The fleet's size now and then, to hold its largest: times and sizes, falling.
@@ -180,6 +183,9 @@
     counts: Counts,
 }
 
+/// Peers may be told of news so many times between two rounds of questions.
+const HINTS: i64 = 10;
+
 /// Outputs that may wait to be fetched; past them datagrams are dropped, as links drop them.
 const OUTPUTS_MOST: usize = 1024;
 
@@ -210,6 +216,8 @@
             cursors: FxHashMap::default(),
             neighbours: Vec::new(),
             ask_at: now,
+            hinted: 1,
+            hint_at: now,
             seed_at: now,
             tidy_at: now,
             sizes: VecDeque::new(),
@@ -250,7 +258,10 @@
 
     /// When [`Input::Wake`] is due.
     pub fn next_timeout(&self) -> Micros {
-        let own = self.ask_at.min(self.seed_at).min(self.tidy_at);
+        let mut own = self.ask_at.min(self.seed_at).min(self.tidy_at);
+        if self.facts.version() > self.hinted {
+            own = own.min(self.hint_at);
+        }
         self.swim.next_timeout().map_or(own, |at| at.min(own))
     }
 
@@ -258,6 +269,9 @@
     /// no room for it.
     pub fn publish(&mut self, now: Micros, key: &[u8], value: &[u8], age: Micros) -> bool {
         let taken = self.facts.publish(now, key, value, age);
+        if taken && now >= self.hint_at {
+            self.hint(now);
+        }
         self.counts.facts_over += u64::from(!taken);
         taken
     }
@@ -267,6 +281,11 @@
         self.facts.iter(now)
     }
 
+    /// Grows with each fact that is new here.
+    pub fn facts_version(&self) -> u64 {
+        self.facts.version()
+    }
+
     /// How many facts are held.
     pub fn facts_held(&self) -> usize {
         self.facts.len()
@@ -330,6 +349,13 @@
             Kind::Swim | Kind::Challenge => Err(Rejected::Malformed),
             Kind::Pull => self.answer(now, address, body),
             Kind::Facts => self.learn(now, boot, body),
+            Kind::News => {
+                // One question at a time: a peer that says so all the time gets no more answers by it.
+                if !self.asked.values().any(|a| a.to == boot && now - a.at < micros(self.set.ask_every)) {
+                    self.ask(now, boot, address);
+                }
+                Ok(())
+            }
         }
     }
 
@@ -457,6 +483,9 @@
                 self.ask(now, boot, address);
             }
         }
+        if now >= self.hint_at && self.facts.version() > self.hinted {
+            self.hint(now);
+        }
         if now >= self.tidy_at {
             self.tidy_at = now + micros(self.set.probe_period);
             for address in self.swim.tidy() {
@@ -468,6 +497,21 @@
         }
     }
 
+    /// Tells some peers, by chance, that there is news. They ask for it: so its age stays a bound.
+    fn hint(&mut self, now: Micros) {
+        self.hinted = self.facts.version();
+        // Many facts at once are one hint.
+        self.hint_at = now + Micros(micros(self.set.ask_every).0 / HINTS);
+        let mut live: Vec<SocketAddr> =
+            self.swim.others().filter(|(_, s)| *s == foca::State::Alive).map(|(id, _)| id.address).collect();
+        for _ in 0..=self.set.ask_peers {
+            if !live.is_empty() {
+                let to = live.swap_remove(self.rng.random_range(0..live.len()));
+                self.send(to, Kind::News, &[0; 24]);
+            }
+        }
+    }
+
     /// The neighbours and one by chance: they spread the news along fixed ways, it heals what these miss.
     fn asked_next(&mut self) -> Vec<(u64, SocketAddr)> {
         let live: Vec<(u64, SocketAddr)> = self
--- a/crates/peers/src/seal.rs
+++ b/crates/peers/src/seal.rs
@@ -34,6 +34,8 @@
     Pull,
     /// What is new.
     Facts,
+    /// "I have news": whoever hears it asks.
+    News,
 }
 
 /// Why a datagram is dropped.
@@ -252,6 +254,7 @@
             1 => Kind::Swim,
             2 => Kind::Pull,
             3 => Kind::Facts,
+            4 => Kind::News,
             _ => return Err(Rejected::Malformed),
         };
         let (boot, counter, token) = (number(data, 4), number(data, 12), number(data, 20));
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -1,22 +1,50 @@
 //! The fleet's wiring: the link on the event loop, what it tells in the log, in `/members` and in `/stats`. It hands
 //! values over and knows nothing of requests.
 
+use crate::pools::PoolId;
 use crate::{Net, Proxy};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction};
 use garnettally_config::file::Fleet as Settings;
+use garnettally_decisions::facade::{Decisions, Micros, ServerId};
 use garnettally_link::{Link, LinkError, LinkSettings};
-use garnettally_peers::{Event, Identity, Rejected, State};
+use garnettally_model::Hearsay;
+use garnettally_peers::{Event, Fact, Identity, Rejected, State};
+use garnettally_verdicts::{hash, merge, Claim, Exchange, Prior, Said, Subject, View, What};
+use rustc_hash::FxHashMap;
 use serde_json::{json, Value};
 use slog::{error, info, warn};
+use std::collections::BTreeMap;
 use std::fmt::Write;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Between two looks at what modules have found and what members say: a quarter of a module's period.
+const LOOK: Duration = Duration::from_millis(50);
+/// The same for what members say, while nothing is new: it only grows old.
+const LOOK_ANYWAY: Duration = Duration::from_millis(500);
 
 /// This process as a member of the fleet.
 pub struct Fleet {
     link: Link,
     /// As it was started: what else a reload says holds from the next start on.
     settings: Settings,
+    /// One for each pool.
+    exchanges: BTreeMap<PoolId, Exchange>,
+    /// Names by their hashes: of pools and classes, and of nodes, by pool.
+    names: FxHashMap<(u64, u64), String>,
+    look_at: Instant,
+    /// Up to which fact, and when, what members say was last merged.
+    merged: (u64, Instant),
+    /// Verdicts that modules go by.
+    acted_on: u64,
+}
+
+/// One pool, as the exchange of verdicts sees it.
+pub struct Seen<'a> {
+    pub id: PoolId,
+    pub name: &'a str,
+    pub classes: &'a [String],
+    pub decisions: &'a Decisions,
 }
 
 fn link_settings(s: &Settings) -> LinkSettings {
@@ -60,7 +88,16 @@
         let me = link.me();
         info!(net.log, "a member of the fleet"; "member" => &me.name, "zone" => &me.zone, "address" => %me.address,
             "life" => format!("{:016x}", me.boot), "keys" => settings.key_file.is_some());
-        Ok(Fleet { link, settings })
+        let now = Instant::now();
+        Ok(Fleet {
+            link,
+            settings,
+            exchanges: BTreeMap::new(),
+            names: FxHashMap::default(),
+            look_at: now,
+            merged: (0, now),
+            acted_on: 0,
+        })
     }
 
     /// What is due, after each round of the event loop.
@@ -72,7 +109,92 @@
     }
 
     pub fn next_wake(&self) -> Instant {
-        self.link.next_wake()
+        self.link.next_wake().min(self.look_at)
+    }
+
+    /// Whether [`Fleet::look`] is due.
+    pub fn looks(&self, now: Instant) -> bool {
+        self.look_at <= now
+    }
+
+    /// Tells members what these pools' modules have found, and gives what each is to hear. `at` is their time.
+    pub fn look(&mut self, now: Instant, at: Micros, pools: &[Seen<'_>]) -> Vec<(PoolId, Hearsay)> {
+        self.look_at = now + LOOK;
+        self.exchanges.retain(|id, _| pools.iter().any(|p| p.id == *id));
+        let max_age = Micros(self.settings.max_age.as_micros() as i64);
+        for p in pools {
+            let e = self.exchanges.entry(p.id).or_insert_with(|| Exchange::new(p.name, p.classes));
+            let name = |id: ServerId| p.decisions.upstream_name(id);
+            for n in e.met()..p.decisions.met() {
+                let name = name(ServerId(n as u32));
+                self.names.insert((e.pool(), hash(name)), name.to_string());
+            }
+            e.meet(p.decisions.met(), &name);
+            self.names.entry((0, e.pool())).or_insert_with(|| p.name.to_string());
+            for class in p.classes {
+                self.names.entry((0, hash(class))).or_insert_with(|| class.to_string());
+            }
+            let opinions = p.decisions.opinions();
+            for (key, value, age) in e.speak(at, &opinions, p.decisions.ready(), max_age, name) {
+                self.link.publish(&key, &value, Duration::from_micros(age.0.max(0) as u64));
+            }
+        }
+        let version = self.link.facts_version();
+        if version == self.merged.0 && now < self.merged.1 + LOOK_ANYWAY {
+            return Vec::new();
+        }
+        self.merged = (version, now);
+        let priors = self.merge(pools);
+        self.acted_on = priors.len() as u64;
+        let mut heard = Vec::new();
+        for p in pools {
+            if let Some(e) = self.exchanges.get_mut(&p.id) {
+                let told = e.hear(at, &priors, |id| p.decisions.started(id));
+                heard.extend(told.into_iter().map(|h| (p.id, h)));
+            }
+        }
+        heard
+    }
+
+    fn merge(&self, pools: &[Seen<'_>]) -> Vec<Prior> {
+        let said: Vec<Said> = self.link.facts().filter_map(|f| read(&f)).collect();
+        let me = self.link.me();
+        let zones: FxHashMap<u64, bool> =
+            self.link.others().map(|(id, _)| (id.boot, id.zone == me.zone)).collect();
+        let nodes: FxHashMap<u64, usize> =
+            pools.iter().map(|p| (hash(p.name), p.decisions.ready())).collect();
+        let view = View {
+            me: me.boot,
+            same_zone: &|member| zones.get(&member).copied(),
+            alive: self.link.alive() as usize,
+            nodes: &|pool| nodes.get(&pool).copied().unwrap_or(0),
+        };
+        merge(&said, &view)
+    }
+
+    /// What members say of nodes now, with who said it and how old it is.
+    fn verdicts(&self) -> Vec<Value> {
+        let mut members: FxHashMap<u64, &str> = FxHashMap::default();
+        members.insert(self.link.me().boot, &self.link.me().name);
+        members.extend(self.link.others().map(|(id, _)| (id.boot, id.name.as_str())));
+        let name =
+            |of: u64, hash: u64| self.names.get(&(of, hash)).cloned().unwrap_or(format!("{hash:016x}"));
+        let said = self.link.facts().filter_map(|f| read(&f));
+        let rows = said.map(|s| {
+            let Subject { pool, node, class, .. } = s.subject;
+            let what = match s.claim.what {
+                What::Sick => "sick",
+                What::Unreachable => "unreachable",
+                What::Well => "well",
+            };
+            json!({
+                "pool": name(0, pool), "node": name(pool, node),
+                "class": (class != 0).then(|| name(0, class)),
+                "what": what, "bad": (s.claim.bad * 100.0).round() / 100.0, "age_ms": s.age.0 / 1000,
+                "by": members.get(&s.member).map_or_else(|| format!("{:016x}", s.member), |m| m.to_string()),
+            })
+        });
+        rows.collect()
     }
 
     /// The process ends: peers need not find out by themselves.
@@ -111,6 +233,7 @@
             "member": me.name, "alive": self.link.alive(), "size": self.link.size(), "away": counts.away,
             "stalls": counts.stalls, "facts": self.link.facts_held(),
             "max_age_ms": self.settings.max_age.as_millis() as u64, "members": rows,
+            "verdicts": self.verdicts(), "acted_on": self.acted_on,
         })
     }
 
@@ -121,6 +244,7 @@
             ("members_alive", u64::from(self.link.alive())),
             ("size", u64::from(self.link.size())),
             ("facts", self.link.facts_held() as u64),
+            ("verdicts_acted_on", self.acted_on),
         ] {
             let _ = writeln!(out, "edge_gw.fleet.{what}:{n}|g");
         }
@@ -144,6 +268,12 @@
     }
 }
 
+/// `None`: the news is not a verdict.
+fn read(f: &Fact<'_>) -> Option<Said> {
+    let (subject, claim) = (Subject::of_key(f.key)?, Claim::of_value(f.value)?);
+    Some(Said { member: f.origin, subject, claim, age: f.age })
+}
+
 fn name(state: State) -> &'static str {
     match state {
         State::Alive => "alive",
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -29,7 +29,7 @@
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use garnettally_config::file::format::LogRequests;
 pub use garnettally_config::Limits;
-use garnettally_decisions::facade::Micros;
+use garnettally_decisions::facade::{Micros, Report};
 use garnettally_routing::budget::HolderId;
 use garnettally_routing::pins::Pins;
 use lease::{Lease, Shared};
@@ -295,8 +295,22 @@
         self.resume_discarding();
         self.continue_shutdown(now);
         self.consult(now);
-        if let Some(fleet) = &mut self.fleet {
-            fleet.turn(&self.net);
+        self.tend_fleet(now);
+    }
+
+    /// The link's own work, and what the modules and the other members have to tell each other.
+    fn tend_fleet(&mut self, now: Instant) {
+        let Some(fleet) = &mut self.fleet else { return };
+        fleet.turn(&self.net);
+        if !fleet.looks(now) {
+            return;
+        }
+        let seen: Vec<fleet::Seen<'_>> = self.pools.iter().filter(|p| !p.leaving).map(|p| p.seen()).collect();
+        let heard = fleet.look(now, self.net.clock.at(now), &seen);
+        for (id, hearsay) in heard {
+            if let Some(pool) = self.pools.get_mut(id) {
+                pool.queue(Report::Heard(hearsay), now);
+            }
         }
     }
 
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::Discovery;
 use crate::exchange::News;
+use crate::fleet::Seen;
 use crate::plan::PoolPlan;
 use crate::source::{whole, Source};
 use crate::upstreams::Target;
@@ -53,6 +54,11 @@
         !self.leaving && (!self.told || self.health.ready() > 0)
     }
 
+    /// What the fleet's exchange of verdicts sees of it.
+    pub fn seen(&self) -> Seen<'_> {
+        Seen { id: self.id, name: &self.name, classes: self.decisions.classes(), decisions: &self.decisions }
+    }
+
     /// Has the module hear of this at its next turn.
     pub fn queue(&mut self, report: Report, now: Instant) {
         self.add(News::Known(report), now);
--- /dev/null
+++ b/crates/verdicts/src/exchange.rs
@@ -0,0 +1,210 @@
+//! One pool's opinions out, and hearsay in.
+
+use crate::claim::{hash, Claim, Subject, What};
+use crate::merge::{own_fault, Prior};
+use garnettally_model::{ClassId, Hearsay, Micros, Opinion, ServerId};
+use rustc_hash::FxHashMap;
+
+/// What is to be said: key, value, and how old it is.
+pub type Saying = (Vec<u8>, Vec<u8>, Micros);
+
+struct Spoken {
+    claim: Claim,
+    /// By what it was found, and when it was said.
+    found: Micros,
+    spoken: Micros,
+}
+
+/// What one pool's module says and hears.
+pub struct Exchange {
+    pool: u64,
+    classes: Vec<u64>,
+    /// The hashes of its nodes' names, by number, and back.
+    nodes: Vec<u64>,
+    numbers: FxHashMap<u64, ServerId>,
+    spoken: FxHashMap<Subject, Spoken>,
+    told: FxHashMap<Subject, (ServerId, Option<ClassId>, Hearsay)>,
+}
+
+/// Evidence that is renewed is said again after this part of the bound on ages.
+const RENEWED: i64 = 8;
+/// A verdict that changes by less need not be told anew.
+const CHANGE: f64 = 0.1;
+
+impl Exchange {
+    /// For the pool of this name, with these classes.
+    pub fn new(pool: &str, classes: &[String]) -> Exchange {
+        Exchange {
+            pool: hash(pool),
+            classes: classes.iter().map(|c| hash(c)).collect(),
+            nodes: Vec::new(),
+            numbers: FxHashMap::default(),
+            spoken: FxHashMap::default(),
+            told: FxHashMap::default(),
+        }
+    }
+
+    /// Of how many nodes the names were met.
+    pub fn met(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// The hash of the pool's name.
+    pub fn pool(&self) -> u64 {
+        self.pool
+    }
+
+    /// The number of a node, as far as its name was met.
+    pub fn node(&self, hash: u64) -> Option<ServerId> {
+        self.numbers.get(&hash).copied()
+    }
+
+    /// What is to be said anew. `ready`: how many nodes the pool has; `name` tells a node's.
+    pub fn speak<'n>(
+        &mut self,
+        now: Micros,
+        opinions: &[Opinion],
+        ready: usize,
+        max_age: Micros,
+        name: impl Fn(ServerId) -> &'n str,
+    ) -> Vec<Saying> {
+        let bad = opinions.iter().filter(|o| o.bad > 0.0);
+        let mut nodes: Vec<u32> = bad.map(|o| o.server.0).collect();
+        nodes.dedup();
+        // Most of them bad: the broken link is this member's own.
+        let silent = own_fault(nodes.len(), ready);
+        let mut sayings = Vec::new();
+        for o in opinions {
+            let subject = self.subject(o, &name);
+            let before = self.spoken.get(&subject);
+            if o.bad > 0.0 && !silent {
+                let what = if o.unreachable { What::Unreachable } else { What::Sick };
+                let claim = Claim { what, bad: o.bad };
+                let again = before.is_none_or(|b| {
+                    b.claim.what != what
+                        || (b.claim.bad - o.bad).abs() > CHANGE
+                        || (o.at > b.found && now - b.spoken >= Micros(max_age.0 / RENEWED))
+                });
+                if again {
+                    self.spoken.insert(subject, Spoken { claim, found: o.at, spoken: now });
+                    sayings.push((subject.to_key(), claim.to_value(), now - o.at));
+                }
+            } else if before.is_some() {
+                // As old as the answer that says so: one that was let back in by hearsay proves nothing.
+                self.spoken.remove(&subject);
+                let claim = Claim { what: What::Well, bad: 0.0 };
+                sayings.push((subject.to_key(), claim.to_value(), now - o.ok_at));
+            }
+        }
+        self.spoken.retain(|_, s| now - s.found < max_age + max_age);
+        sayings
+    }
+
+    /// What the module is to hear anew. `since` tells when a node started, as the list here has it.
+    pub fn hear(
+        &mut self,
+        now: Micros,
+        priors: &[Prior],
+        since: impl Fn(ServerId) -> Option<Micros>,
+    ) -> Vec<Hearsay> {
+        let mut heard = Vec::new();
+        let mut left = std::mem::take(&mut self.told);
+        for p in priors.iter().filter(|p| p.subject.pool == self.pool) {
+            let Some(server) = self.node(p.subject.node) else { continue };
+            let class = match p.subject.class {
+                0 => None,
+                c => match self.classes.iter().position(|k| *k == c) {
+                    Some(at) => Some(ClassId(at as u32)),
+                    None => continue,
+                },
+            };
+            // A node that started anew is not the one that was spoken of.
+            if Subject::since(since(server)) != p.subject.since {
+                continue;
+            }
+            let new = Hearsay { server, class, bad: p.bad, at: now - p.age, tries: p.tries };
+            let before = left.remove(&p.subject).map(|(_, _, h)| h);
+            let same = before.filter(|b| {
+                b.tries == new.tries && (b.bad - new.bad).abs() <= CHANGE && new.at - b.at < Micros(100_000)
+            });
+            if same.is_none() {
+                heard.push(new);
+            }
+            self.told.insert(p.subject, (server, class, same.unwrap_or(new)));
+        }
+        // What nobody says any more, or not recently enough, is taken back.
+        for (server, class, before) in left.into_values() {
+            heard.push(Hearsay { server, class, bad: 0.0, at: now, tries: before.tries });
+        }
+        heard
+    }
+
+    /// What the module goes by now, of others' words.
+    pub fn told(&self) -> impl Iterator<Item = &Hearsay> {
+        self.told.values().map(|(_, _, h)| h)
+    }
+
+    fn subject<'n>(&mut self, o: &Opinion, name: &impl Fn(ServerId) -> &'n str) -> Subject {
+        self.meet(o.server.0 as usize + 1, name);
+        let class = o.class.and_then(|c| self.classes.get(c.0 as usize)).copied().unwrap_or(0);
+        let node = self.nodes[o.server.0 as usize];
+        Subject { pool: self.pool, node, since: Subject::since(o.since), class }
+    }
+
+    /// Learns the names of nodes up to this number; numbers are not given out again.
+    pub fn meet<'n>(&mut self, most: usize, name: &impl Fn(ServerId) -> &'n str) {
+        for n in self.nodes.len()..most {
+            let id = ServerId(n as u32);
+            let hash = hash(name(id));
+            self.nodes.push(hash);
+            self.numbers.insert(hash, id);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const AGE: Micros = Micros(20_000_000);
+
+    fn opinion(bad: f64, at: i64, ok_at: i64) -> Opinion {
+        let (server, since, class) = (ServerId(0), None, None);
+        Opinion { server, since, class, bad, unreachable: false, at: Micros(at), ok_at: Micros(ok_at) }
+    }
+
+    fn said(e: &mut Exchange, now: i64, o: Opinion, ready: usize) -> Vec<(Claim, i64)> {
+        let sayings = e.speak(Micros(now), &[o], ready, AGE, |_| "n");
+        sayings.into_iter().map(|(_, v, age)| (Claim::of_value(&v).unwrap(), age.0)).collect()
+    }
+
+    #[test]
+    fn a_finding_is_said_once_renewed_by_evidence_and_ended_by_a_good_answer() {
+        let mut e = Exchange::new("p", &[]);
+        let first = said(&mut e, 1_000, opinion(0.8, 900, 0), 10);
+        assert_eq!((first.len(), first[0].0.what, first[0].1), (1, What::Sick, 100));
+        assert_eq!(said(&mut e, 2_000, opinion(0.8, 900, 0), 10), []);
+        // No new evidence: it grows old, whatever time passes.
+        assert_eq!(said(&mut e, 10_000_000, opinion(0.8, 900, 0), 10), []);
+        assert_eq!(said(&mut e, 10_000_100, opinion(0.8, 10_000_000, 0), 10).len(), 1);
+        let well = said(&mut e, 11_000_000, opinion(0.0, 10_900_000, 10_900_000), 10);
+        assert_eq!((well.len(), well[0].0.what, well[0].1), (1, What::Well, 100_000));
+        assert_eq!(said(&mut e, 12_000_000, opinion(0.0, 10_900_000, 10_900_000), 10), []);
+    }
+
+    #[test]
+    fn hearsay_is_told_once_taken_back_once_and_never_of_another_life() {
+        let mut e = Exchange::new("p", &[]);
+        e.meet(1, &|_| "n");
+        let subject = Subject { pool: hash("p"), node: hash("n"), since: 5, class: 0 };
+        let prior = Prior { subject, bad: 0.9, age: Micros(10), tries: false };
+        assert_eq!(e.hear(Micros(100), &[prior], |_| Some(Micros(6))), []);
+        let told = e.hear(Micros(100), &[prior], |_| Some(Micros(5)));
+        assert_eq!((told.len(), told[0].bad, told[0].at), (1, 0.9, Micros(90)));
+        assert_eq!(e.hear(Micros(200), &[Prior { age: Micros(110), ..prior }], |_| Some(Micros(5))), []);
+        assert_eq!(e.hear(Micros(200), &[Prior { tries: true, ..prior }], |_| Some(Micros(5))).len(), 1);
+        let back = e.hear(Micros(300), &[], |_| Some(Micros(5)));
+        assert_eq!((back.len(), back[0].bad), (1, 0.0));
+        assert_eq!(e.hear(Micros(300), &[], |_| Some(Micros(5))), []);
+    }
+}
--- a/src/members.rs
+++ b/src/members.rs
@@ -52,6 +52,23 @@
         let cells: Vec<String> = row.iter().zip(&widths).map(|(c, w)| format!("{c:w$}")).collect();
         let _ = writeln!(out, "{}", cells.join("  ").trim_end());
     }
+    let verdicts = told["verdicts"].as_array().map_or(&[][..], Vec::as_slice);
+    if !verdicts.is_empty() {
+        let _ = writeln!(out, "\nwhat members found out about nodes; {} acted on here", told["acted_on"]);
+    }
+    for v in verdicts {
+        let class = v["class"].as_str().map_or(String::new(), |c| format!(" for {c}"));
+        let _ = writeln!(
+            out,
+            "{}/{}{class}: {} ({}), {} ms old, by {}",
+            text(&v["pool"]),
+            text(&v["node"]),
+            text(&v["what"]),
+            v["bad"],
+            v["age_ms"],
+            text(&v["by"])
+        );
+    }
     let _ = writeln!(
         out,
         "\n{} alive, taken for {}; {} facts, void after {} ms; away {} times, stood still {} times",
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -69,6 +69,13 @@
     drill("rolling", &[ALWAYS, SERVED, NOTICED]);
 }
 
+/// Guards against members that each pay to learn what one knows, and against verdicts that outlive their cause.
+#[test]
+fn what_two_find_out_about_a_node_all_go_by_until_it_is_well() {
+    let (found, ended) = ("all go by a verdict on a sick node", "no verdict is left on a node that is well");
+    drill("sick-nodes", &[ALWAYS, NOTICED, found, ended, "no verdict is held past its age"]);
+}
+
 /// The checks have to be able to fail: members that never meet, a cut that stays, a death that is noticed too late.
 #[test]
 fn drills_of_a_broken_fleet_fail() {
@@ -78,9 +85,13 @@
     let cut = "[[faults]]\nat = \"0s\"\nwhat = \"split\"\nmembers = [0]\n";
     let slow = fast.replace("suspicion = \"600ms\"", "suspicion = \"50s\"\nforget_after = \"5m\"");
     let kill = "[[faults]]\nat = \"0s\"\nwhat = \"kill\"\nmembers = [0]\n";
+    // One member's word is no verdict.
+    let alone = "members = 1\nnodes = 6\nload = 8\ntime = \"3s\"\nsettle = \"1s\"\n";
+    let hang = "[[faults]]\nat = \"0s\"\nwhat = \"hang-nodes\"\nmembers = [2]\n";
     for (what, script, broken) in [
         ("stays cut", format!("{top}{fast}{cut}"), ALWAYS),
         ("never notices", format!("{top}{slow}{kill}"), NOTICED),
+        ("has nobody to tell", format!("{alone}{fast}{hang}"), "all go by a verdict on a sick node"),
     ] {
         let file = config_file(&script);
         let out = run(&["drill", &file]);
