Let silence seen by three members be a verdict, and pools follow the fleet's size

Checked: news spreads in round trips (drill: 0.3 to 1 s from the hang to all, of which 0.5 s is one balancer's own time to be sure: 8 times what a call should take, and 0.2 s). So the time to be sure is what is left. Change: a call that is out for 0.4 of that time with nothing answered since is said as silence; three such voices are a verdict (crates/verdicts). Hearsay leaves own findings their name: a score of own calls over the bound counts as found here, also where hearsay came first.

Pools without `instances` take the live membership's held size and this member's place in it. Datagrams are fuzzed before and behind the MAC, with a corpus.

--- a/crates/config/src/file/check.rs
+++ b/crates/config/src/file/check.rs
@@ -113,6 +113,8 @@
     pub memory: Share,
     /// When it is left in a failover list.
     pub failover: Rules,
+    /// How many share its nodes is not written: with a fleet it is the fleet's size.
+    pub shared_by_fleet: bool,
 }
 
 /// What a pool's instance of the module is made from, as it is written.
@@ -430,6 +432,7 @@
                 connections,
                 memory,
                 failover: rules,
+                shared_by_fleet: f.fleet.is_some() && p.instances.is_none(),
             });
         }
         all
--- a/crates/config/src/file/format.rs
+++ b/crates/config/src/file/format.rs
@@ -302,7 +302,7 @@
     pub zone: Option<String>,
     /// What an attempt that leaves the zone costs, as a part of a request's worth. Default: 0.
     pub crossing_price: Option<f64>,
-    /// Processes that balance over these nodes, this one included. Default: 1.
+    /// Processes that balance over these nodes, this one included. Default: 1, or the fleet's size with `fleet`.
     pub instances: Option<u32>,
     /// This one's number among them, from 0. Default: 0.
     pub instance: Option<u32>,
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -1,7 +1,8 @@
 //! The module in blocking style: ask it to [`pick`](Decisions::pick), [`report`](Decisions::report) what
 //! came of it, and [`tick`](Decisions::tick) when it is due. Network code sees these types alone.
 
-use crate::rules::Balancer;
+use crate::rules::{Balancer, BAD_EJECT};
+use crate::state::{Flight, Mark};
 use garnettally_model::{
     Action, Event, Form, Hearsay, HostList, Load, Names, NewRequest, Opinion, Outcome, Site,
 };
@@ -186,12 +187,23 @@
         self.handle(now, event)
     }
 
+    /// So many instances share the upstreams from now on, and this is the number, from 0, of this one.
+    pub fn share(&mut self, instances: u32, me: u32) {
+        self.balancer.share(instances.max(1), me.min(instances.saturating_sub(1)));
+    }
+
     /// What this instance has found out by its own calls, by upstream: of those that it has had doubts about.
-    pub fn opinions(&self) -> Vec<Opinion> {
+    pub fn opinions(&self, now: Micros) -> Vec<Opinion> {
         let mut all = Vec::new();
+        let no_mark = [Mark::default()];
         for s in self.balancer.servers().iter().filter(|s| s.news.state == Listed::Ready) {
-            for (key, m) in s.marks.iter().enumerate() {
-                let own = m.own && m.ejected_until.is_some();
+            let unanswered = s.flights.iter().filter(|f| s.last_ok <= f.sent);
+            let part = |f: &Flight| (now - f.sent).0 as f64 / (f.overdue_at - f.sent).0.max(1) as f64;
+            let silent = unanswered.map(part).fold(0.0, f64::max);
+            let marks = if s.marks.is_empty() && silent > 0.0 { &no_mark[..] } else { &s.marks };
+            for (key, m) in marks.iter().enumerate() {
+                // Its score is made of its own calls alone, also where hearsay came first.
+                let own = m.ejected_until.is_some() && (m.own || m.bad >= BAD_EJECT);
                 all.push(Opinion {
                     server: s.news.server,
                     since: s.news.since,
@@ -199,6 +211,7 @@
                     // While it is ejected it is as bad as what it was ejected for, at the least.
                     bad: if own { m.bad.max(0.5) } else { 0.0 },
                     unreachable: s.shut,
+                    silent: if key == 0 { silent } else { 0.0 },
                     at: s.last_end,
                     ok_at: s.last_ok,
                 });
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -33,7 +33,7 @@
 // Health.
 const OVERDUE: f64 = 8.0; // multiple of the expected time: 1 in 3,000 of exponential times
 const BAD_MEAN: f64 = 0.3; // least weight of one outcome in the outlier score
-const BAD_EJECT: f64 = 0.4; // the score that ejects, above twice the peers' own
+pub const BAD_EJECT: f64 = 0.4; // the score that ejects, above twice the peers' own
 const BAD_WELL: f64 = 0.1; // the score under which a server is well again
 const SLOW_FROM: f64 = 4.0; // an answer is bad from this multiple of its expected time: 1 in 50
 const SLOW_OVER: f64 = 8.0; // and wholly bad so many multiples later
@@ -929,6 +929,11 @@
         self.eject(actions);
     }
 
+    /// So many instances share the servers from now on, and this is which of them this one is.
+    pub fn share(&mut self, instances: u32, me: u32) {
+        (self.set.instances, self.set.me, self.stale) = (instances, me, true);
+    }
+
     /// The servers, for those who tell others of them.
     pub fn servers(&self) -> &[Server] {
         &self.servers
--- a/crates/emulator/src/day.rs
+++ b/crates/emulator/src/day.rs
@@ -566,7 +566,7 @@
     fn link(&mut self, now: Micros, member: usize) {
         let Some(fleet) = self.fleet.as_mut().filter(|f| f.is_due(now, member)) else { return };
         let (policy, places) = (&self.balancers[member].policy, &self.places);
-        let step = fleet.wake(now, member, || policy.opinions(), |id| places[id.0 as usize].since);
+        let step = fleet.wake(now, member, || policy.opinions(now), |id| places[id.0 as usize].since);
         self.stepped(now, member, step);
     }
 
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -107,7 +107,7 @@
     /// When time is to pass next.
     fn next_tick(&self) -> Option<Micros>;
     /// What it has found out by its own calls. References find out nothing.
-    fn opinions(&self) -> Vec<Opinion> {
+    fn opinions(&self, _now: Micros) -> Vec<Opinion> {
         Vec::new()
     }
 }
@@ -125,8 +125,8 @@
     fn next_tick(&self) -> Option<Micros> {
         Decisions::next_tick(self)
     }
-    fn opinions(&self) -> Vec<Opinion> {
-        Decisions::opinions(self)
+    fn opinions(&self, now: Micros) -> Vec<Opinion> {
+        Decisions::opinions(self, now)
     }
 }
 
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -346,6 +346,9 @@
     pub bad: f64,
     /// The last call got no connection.
     pub unreachable: bool,
+    /// For how long a call has been out there with nothing answered since, as a part of the time after which this
+    /// instance speaks against it by itself; 0: none is.
+    pub silent: f64,
     /// When a call last ended there, or was overdue.
     pub at: Micros,
     /// When it last answered well.
--- a/crates/peers/src/seal.rs
+++ b/crates/peers/src/seal.rs
@@ -373,6 +373,17 @@
         );
     }
 
+    /// An older and a newer program side by side: neither understands the other, and both say so.
+    #[test]
+    fn another_version_is_told_apart_from_junk() {
+        let (mut a, mut b) = pair();
+        let mut newer = a.seal(at(2), Kind::Swim, b"body");
+        newer[1] = VERSION + 1;
+        assert_eq!(b.open(&newer).unwrap_err(), Rejected::Version);
+        newer[0] = 0;
+        assert_eq!(b.open(&newer).unwrap_err(), Rejected::Malformed);
+    }
+
     #[test]
     fn what_comes_twice_is_dropped_and_what_overtakes_is_not() {
         let (mut a, mut b) = pair();
--- /dev/null
+++ b/crates/peers/tests/datagrams.rs
@@ -0,0 +1,163 @@
+//! Datagrams from nowhere: whatever comes, nothing panics, nothing grows past its bound, and nothing is answered with
+//! more than came. The corpus holds what once mattered; the rest is drawn from real datagrams, changed.
+
+use garnettally_model::Micros;
+use garnettally_peers::{Input, Keys, Output, Peers, Settings, DATAGRAM_MOST};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn member(port: u16, seeds: &[u16], keys: bool) -> Peers {
+    let mut set = Settings::new(&format!("m{port}"), "z", address(port));
+    set.seeds = seeds.iter().map(|&p| address(p)).collect();
+    set.members_most = 64;
+    set.facts_most = 256;
+    let keys = keys.then(|| Keys::parse(&format!("1 {}", "5a".repeat(32))).unwrap());
+    Peers::new(set, keys, [port as u8; 32], Micros(0))
+}
+
+fn sends(p: &mut Peers) -> Vec<(SocketAddr, Vec<u8>)> {
+    let mut all = Vec::new();
+    while let Some(output) = p.poll() {
+        if let Output::Send(to, data) = output {
+            all.push((to, data));
+        }
+    }
+    all
+}
+
+/// Two that talk, and every datagram that passed between them.
+fn recorded(keys: bool) -> (Peers, Peers, Vec<Vec<u8>>) {
+    let (mut a, mut b) = (member(1, &[2], keys), member(2, &[1], keys));
+    let mut all = Vec::new();
+    for ms in 0..3_000 {
+        let now = Micros(ms * 1_000);
+        if ms == 1_000 {
+            a.publish(now, b"key", b"value", Micros(5));
+        }
+        for (p, other) in [(&mut a, 2), (&mut b, 1)] {
+            if p.next_timeout() <= now {
+                let _ = p.handle(now, Input::Wake);
+            }
+            let _ = other;
+        }
+        for _ in 0..4 {
+            let (from_a, from_b) = (sends(&mut a), sends(&mut b));
+            all.extend(from_a.iter().chain(&from_b).map(|(_, d)| d.clone()));
+            from_a.iter().filter(|(to, _)| to.port() == 2).for_each(|(_, d)| {
+                let _ = b.handle(now, Input::Datagram(d));
+            });
+            from_b.iter().filter(|(to, _)| to.port() == 1).for_each(|(_, d)| {
+                let _ = a.handle(now, Input::Datagram(d));
+            });
+        }
+    }
+    assert!(a.alive() == 2 && b.facts(Micros(3_000_000)).count() == 1, "they never met");
+    (a, b, all)
+}
+
+fn survives(p: &mut Peers, now: Micros, data: &[u8]) {
+    let _ = p.handle(now, Input::Datagram(data));
+    let out: usize = sends(p).iter().map(|(_, d)| d.len()).sum();
+    // What could be opened may have an answer of one datagram; a stranger's gets no more than it sent.
+    assert!(out <= data.len().max(DATAGRAM_MOST * 8), "{out} bytes for {}", data.len());
+    assert!(p.alive() <= 64 && p.facts_held() <= 256);
+}
+
+/// `PEERS_CORPUS=write` writes it anew: of each kind that passes between two members the first, whole, with its body
+/// cut, and with a body of junk, each sealed with the key that all know.
+fn write_corpus(folder: &str) {
+    let (.., all) = recorded(false);
+    let key = blake3::derive_key("garnettally fleet link, loopback without a key", b"");
+    for kind in 0..=4u8 {
+        let Some(whole) = all.iter().find(|d| d[2] == kind) else { panic!("no datagram of kind {kind}") };
+        let body = &whole[..whole.len() - 16];
+        let junk: Vec<u8> = body[..46].iter().copied().chain([0xff; 300]).collect();
+        for (name, signed) in [("whole", body), ("cut", &body[..body.len() - 3]), ("junk", &junk[..])] {
+            let mac = blake3::keyed_hash(&key, signed);
+            let data = [signed, &mac.as_bytes()[..16]].concat();
+            std::fs::write(format!("{folder}/{kind}-{name}"), data).unwrap();
+        }
+    }
+}
+
+#[test]
+fn the_corpus_is_survived() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/corpus");
+    if std::env::var("PEERS_CORPUS").is_ok_and(|v| v == "write") {
+        std::fs::create_dir_all(folder).unwrap();
+        write_corpus(folder);
+    }
+    let mut files: Vec<_> = std::fs::read_dir(folder).unwrap().map(|f| f.unwrap().path()).collect();
+    files.sort();
+    assert!(files.len() >= 8, "the corpus is gone");
+    let (mut a, ..) = recorded(false);
+    for file in files {
+        survives(&mut a, Micros(3_000_000), &std::fs::read(&file).unwrap());
+    }
+}
+
+/// Real datagrams, each cut, with bytes changed, joined and repeated. With the key that all know a changed body can be
+/// sealed anew, so that the parsers behind the MAC are met, too.
+#[test]
+fn changed_datagrams_are_survived_before_and_behind_the_mac() {
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    for keys in [true, false] {
+        let (mut a, _, all) = recorded(keys);
+        let now = Micros(3_000_000);
+        let mut strangers = 0;
+        for _ in 0..20_000 {
+            let mut data = all[rng.random_range(0..all.len())].clone();
+            for _ in 0..rng.random_range(0..4) {
+                match rng.random_range(0..4) {
+                    0 => data.truncate(rng.random_range(0..=data.len())),
+                    1 if !data.is_empty() => {
+                        let at = rng.random_range(0..data.len());
+                        data[at] = rng.random();
+                    }
+                    2 => {
+                        let other = &all[rng.random_range(0..all.len())];
+                        data.extend(&other[rng.random_range(0..other.len())..]);
+                    }
+                    _ => {
+                        let mut more = [0; 16];
+                        rng.fill_bytes(&mut more);
+                        data.extend(more);
+                    }
+                }
+            }
+            if !keys && data.len() > 16 && rng.random_bool(0.7) {
+                // The MAC of the key that all know.
+                let key = blake3::derive_key("garnettally fleet link, loopback without a key", b"");
+                let end = data.len() - 16;
+                let mac = blake3::keyed_hash(&key, &data[..end]);
+                data[end..].copy_from_slice(&mac.as_bytes()[..16]);
+            }
+            let before = a.counts().dropped;
+            survives(&mut a, now, &data);
+            strangers += u64::from(a.counts().dropped != before);
+        }
+        assert!(strangers > 5_000, "{strangers}: nothing was tried");
+    }
+}
+
+/// Guards against a flood of lives: each gets a challenge and no memory.
+#[test]
+fn many_lives_of_strangers_cost_nothing() {
+    let (mut a, ..) = recorded(true);
+    for n in 0..2_000u16 {
+        let mut stranger = member(10_000 + n, &[1], true);
+        let _ = stranger.handle(Micros(0), Input::Wake);
+        for (_, data) in sends(&mut stranger) {
+            let _ = a.handle(Micros(3_000_000), Input::Datagram(&data));
+            let answer = sends(&mut a);
+            let bytes: usize = answer.iter().map(|(_, d)| d.len()).sum();
+            assert!(bytes <= data.len(), "{bytes} bytes for {}", data.len());
+        }
+    }
+    assert_eq!(a.alive(), 2);
+}
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -134,7 +134,7 @@
             for class in p.classes {
                 self.names.entry((0, hash(class))).or_insert_with(|| class.to_string());
             }
-            let opinions = p.decisions.opinions();
+            let opinions = p.decisions.opinions(at);
             for (key, value, age) in e.speak(at, &opinions, p.decisions.ready(), max_age, name) {
                 self.link.publish(&key, &value, Duration::from_micros(age.0.max(0) as u64));
             }
@@ -156,6 +156,19 @@
         heard
     }
 
+    /// How many members the fleet is taken to have, and which of them, from 0, this one is: by the order of addresses,
+    /// stretched over the size, as members that are missing may come back.
+    pub fn share(&self) -> (u32, u32) {
+        let (size, me) = (self.link.size(), self.link.me().address);
+        let live = self.link.others().filter(|(_, s)| *s != State::Down);
+        let (mut before, mut all) = (0, 1);
+        for (id, _) in live {
+            all += 1;
+            before += u64::from(id.address < me);
+        }
+        (size, (before * u64::from(size) / all) as u32)
+    }
+
     fn merge(&self, pools: &[Seen<'_>]) -> Vec<Prior> {
         let said: Vec<Said> = self.link.facts().filter_map(|f| read(&f)).collect();
         let me = self.link.me();
@@ -186,6 +199,7 @@
                 What::Sick => "sick",
                 What::Unreachable => "unreachable",
                 What::Well => "well",
+                What::Silent => "silent",
             };
             json!({
                 "pool": name(0, pool), "node": name(pool, node),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -307,6 +307,8 @@
         }
         let seen: Vec<fleet::Seen<'_>> = self.pools.iter().filter(|p| !p.leaving).map(|p| p.seen()).collect();
         let heard = fleet.look(now, self.net.clock.at(now), &seen);
+        let share = fleet.share();
+        self.share_pools(share);
         for (id, hearsay) in heard {
             if let Some(pool) = self.pools.get_mut(id) {
                 pool.queue(Report::Heard(hearsay), now);
--- a/crates/serve/src/plan.rs
+++ b/crates/serve/src/plan.rs
@@ -81,6 +81,8 @@
     pub failover: Rules,
     /// Any 2xx or 3xx answer serves a request.
     pub any_success: bool,
+    /// Its nodes are shared by as many instances as the fleet has members.
+    pub shared_by_fleet: bool,
 }
 
 impl Plan {
@@ -99,6 +101,7 @@
             memory: Share::default(),
             failover: Rules::default(),
             any_success: false,
+            shared_by_fleet: false,
         }
     }
 
@@ -164,6 +167,7 @@
             memory: p.memory,
             failover: p.failover,
             any_success: true,
+            shared_by_fleet: p.shared_by_fleet,
         }
     }
 }
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -42,6 +42,8 @@
     pub leaving: bool,
     /// A node of it was ready once.
     pub ready: bool,
+    /// Its nodes are shared by as many instances as the fleet has members: so many it was last told, and which it is.
+    pub shared_by_fleet: Option<(u32, u32)>,
     /// Its source has told its nodes; before, requests wait for them.
     pub told: bool,
     news: Vec<News>,
@@ -59,6 +61,16 @@
         Seen { id: self.id, name: &self.name, classes: self.decisions.classes(), decisions: &self.decisions }
     }
 
+    /// Tells the module how many share its nodes, where the fleet says so and it has changed.
+    pub fn share(&mut self, share: (u32, u32)) -> bool {
+        let new = self.shared_by_fleet.is_some_and(|before| before.0 != share.0);
+        if new {
+            self.shared_by_fleet = Some(share);
+            self.decisions.share(share.0, share.1);
+        }
+        new
+    }
+
     /// Has the module hear of this at its next turn.
     pub fn queue(&mut self, report: Report, now: Instant) {
         self.add(News::Known(report), now);
@@ -144,6 +156,7 @@
             open: 0,
             leaving: false,
             ready: false,
+            shared_by_fleet: plan.shared_by_fleet.then_some((1, 0)),
             told: false,
             news: Vec::new(),
             first_news: None,
@@ -169,6 +182,7 @@
         self.budgets.copies.change(pool.copies, plan.requests);
         self.budgets.connections.change(pool.connections, plan.connections);
         pool.fitness.change(plan.failover.clone(), at);
+        pool.shared_by_fleet = plan.shared_by_fleet.then(|| pool.shared_by_fleet.unwrap_or((1, 0)));
         self.upstreams.set_terms(id, plan.terms(pool.connections));
         if pool.nodes.as_ref() == Some(&plan.nodes) {
             return;
@@ -282,6 +296,15 @@
         }
     }
 
+    /// Tells the modules whose nodes the fleet shares how large it is taken to be, and which member this is.
+    pub fn share_pools(&mut self, share: (u32, u32)) {
+        for pool in self.pools.all.values_mut() {
+            if pool.share(share) {
+                info!(self.net.log, "the fleet's size"; "pool" => &pool.name, "instances" => share.0, "instance" => share.1);
+            }
+        }
+    }
+
     /// Looks at the health of every pool, which failover goes by.
     pub fn review_pools(&mut self, now: Instant) {
         let at = self.net.clock.at(now);
--- a/crates/verdicts/src/claim.rs
+++ b/crates/verdicts/src/claim.rs
@@ -58,6 +58,8 @@
     Unreachable,
     /// It was sick, and has answered since.
     Well,
+    /// It has not answered for longer than nearly any answer takes, though not for long enough to be sure by oneself.
+    Silent,
 }
 
 /// What a member says of a subject.
@@ -82,6 +84,7 @@
             0 => What::Sick,
             1 => What::Unreachable,
             2 => What::Well,
+            3 => What::Silent,
             _ => return None,
         };
         Some(Claim { what, bad: f64::from(bad) / 255.0 })
@@ -104,7 +107,7 @@
         assert_eq!(Subject::of_key(&[&b"x"[..], &key[1..]].concat()), None);
         let c = Claim { what: What::Unreachable, bad: 1.0 };
         assert_eq!(Claim::of_value(&c.to_value()), Some(c));
-        assert_eq!(Claim::of_value(&[3, 0]), None);
+        assert_eq!(Claim::of_value(&[4, 0]), None);
         assert_eq!(Claim::of_value(&[]), None);
     }
 }
--- a/crates/verdicts/src/exchange.rs
+++ b/crates/verdicts/src/exchange.rs
@@ -26,6 +26,11 @@
     told: FxHashMap<Subject, (ServerId, Option<ClassId>, Hearsay)>,
 }
 
+/// A call that is out for this part of the time that makes one sure: five times what it was expected to take, where
+/// an answer of exponential time takes longer once in 150.
+const SILENT: f64 = 0.4;
+/// What several such voices come to: enough to be ejected by.
+const SILENT_BAD: f64 = 0.6;
 /// Evidence that is renewed is said again after this part of the bound on ages.
 const RENEWED: i64 = 8;
 /// A verdict that changes by less need not be told anew.
@@ -68,7 +73,7 @@
         max_age: Micros,
         name: impl Fn(ServerId) -> &'n str,
     ) -> Vec<Saying> {
-        let bad = opinions.iter().filter(|o| o.bad > 0.0);
+        let bad = opinions.iter().filter(|o| o.bad > 0.0 || o.silent >= SILENT);
         let mut nodes: Vec<u32> = bad.map(|o| o.server.0).collect();
         nodes.dedup();
         // Most of them bad: the broken link is this member's own.
@@ -77,17 +82,23 @@
         for o in opinions {
             let subject = self.subject(o, &name);
             let before = self.spoken.get(&subject);
-            if o.bad > 0.0 && !silent {
-                let what = if o.unreachable { What::Unreachable } else { What::Sick };
-                let claim = Claim { what, bad: o.bad };
+            let found = match (o.bad > 0.0, o.unreachable) {
+                (true, true) => Some((What::Unreachable, o.bad, o.at)),
+                (true, false) => Some((What::Sick, o.bad, o.at)),
+                // It is silent now.
+                (false, _) if o.silent >= SILENT => Some((What::Silent, SILENT_BAD, now)),
+                _ => None,
+            };
+            if let Some((what, bad, at)) = found.filter(|_| !silent) {
+                let claim = Claim { what, bad };
                 let again = before.is_none_or(|b| {
                     b.claim.what != what
-                        || (b.claim.bad - o.bad).abs() > CHANGE
-                        || (o.at > b.found && now - b.spoken >= Micros(max_age.0 / RENEWED))
+                        || (b.claim.bad - bad).abs() > CHANGE
+                        || (at > b.found && now - b.spoken >= Micros(max_age.0 / RENEWED))
                 });
                 if again {
-                    self.spoken.insert(subject, Spoken { claim, found: o.at, spoken: now });
-                    sayings.push((subject.to_key(), claim.to_value(), now - o.at));
+                    self.spoken.insert(subject, Spoken { claim, found: at, spoken: now });
+                    sayings.push((subject.to_key(), claim.to_value(), now - at));
                 }
             } else if before.is_some() {
                 // As old as the answer that says so: one that was let back in by hearsay proves nothing.
@@ -170,7 +181,16 @@
 
     fn opinion(bad: f64, at: i64, ok_at: i64) -> Opinion {
         let (server, since, class) = (ServerId(0), None, None);
-        Opinion { server, since, class, bad, unreachable: false, at: Micros(at), ok_at: Micros(ok_at) }
+        Opinion {
+            server,
+            since,
+            class,
+            bad,
+            unreachable: false,
+            silent: 0.0,
+            at: Micros(at),
+            ok_at: Micros(ok_at),
+        }
     }
 
     fn said(e: &mut Exchange, now: i64, o: Opinion, ready: usize) -> Vec<(Claim, i64)> {
--- a/crates/verdicts/src/merge.rs
+++ b/crates/verdicts/src/merge.rs
@@ -10,6 +10,8 @@
 pub const TRIERS: usize = 3;
 /// So many members have to say the same: one alone may be the one that is broken.
 const QUORUM: usize = 2;
+/// Or so many that it is silent: by chance, once in three million.
+const SILENT_QUORUM: usize = 3;
 /// Whoever finds more than one in so many nodes of a pool bad has a broken link of its own.
 const OWN_FAULT: usize = 2;
 /// In pools of fewer nodes than this, that can't be told.
@@ -81,14 +83,18 @@
         let counts = |s: &&&Said| {
             let near = s.member == view.me || (view.same_zone)(s.member) == Some(true);
             s.claim.what != What::Well
-                && (s.claim.what == What::Sick || near)
+                && (s.claim.what != What::Unreachable || near)
                 && well.is_none_or(|well| s.age < well)
         };
         let claims: Vec<&&Said> = all.iter().filter(counts).collect();
         let members: FxHashSet<u64> = claims.iter().map(|s| s.member).collect();
         let others = claims.iter().filter(|s| s.member != view.me);
         let Some(age) = others.clone().map(|s| s.age).min() else { continue };
-        if members.len() < quorum {
+        // One that is sure, and one for whom it is silent, are two voices.
+        let sure: FxHashSet<u64> =
+            claims.iter().filter(|s| s.claim.what != What::Silent).map(|s| s.member).collect();
+        let silent_quorum = if sure.is_empty() { SILENT_QUORUM } else { quorum };
+        if members.len() < silent_quorum {
             continue;
         }
         let bad = others.map(|s| s.claim.bad).fold(0.0, f64::max);
@@ -131,6 +137,16 @@
         assert_eq!(heard(&[said(1, 7, What::Sick, 5)]), []);
     }
 
+    /// Guards against waiting until each is sure by itself, and against a pause that two happen to meet.
+    #[test]
+    fn silence_takes_three_voices_or_one_that_is_sure() {
+        let silent = [2, 3, 4].map(|m| said(m, 7, What::Silent, 5));
+        assert_eq!(heard(&silent[..2]), []);
+        assert_eq!(heard(&silent), [7]);
+        assert_eq!(heard(&[silent[0], said(5, 7, What::Sick, 5)]), [7]);
+        assert_eq!(heard(&[silent[0], silent[1], silent[2], said(6, 7, What::Well, 1)]), []);
+    }
+
     #[test]
     fn unreachable_holds_for_the_zone_of_who_saw_it() {
         assert_eq!(heard(&[said(2, 7, What::Unreachable, 5), said(4, 7, What::Unreachable, 5)]), []);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -181,3 +181,39 @@
     let mut refused = Operated::spawn(&file.replace(&admin.to_string(), &free_address().to_string()));
     assert!(!refused.balancer.wait().success());
 }
+
+/// A pool that does not say how many share its nodes follows the live membership, and keeps to the most of late when
+/// members die: what is left must not send for all at once.
+#[test]
+fn a_pools_instances_follow_the_members_and_fall_late() {
+    let links: Vec<String> = (0..3)
+        .map(|_| std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string())
+        .collect();
+    let fixed = "[pools.fixed]\ninstances = 2\nnodes = [{ name = \"f\", address = \"127.0.0.1:9\" }]\n";
+    let file = |i: usize| {
+        format!(
+            "{ALONE}{fixed}[fleet]\naddress = \"{}\"\nname = \"m{i}\"\nseeds = [\"{}\"]\nprobe_period = \"100ms\"\n\
+             suspicion = \"500ms\"\n",
+            links[i], links[0]
+        )
+    };
+    let mut members: Vec<Operated> = (0..3).map(|i| Operated::spawn(&file(i))).collect();
+    for m in &members {
+        until("three instances", || m.logged("instances: 3") + m.logged("\"instances\":3") > 0);
+    }
+    // Each is another one, and the pool that says so itself is left alone.
+    let ranks: std::collections::BTreeSet<bool> = members
+        .iter()
+        .map(|m| m.log().lines().any(|l| l.contains("instances: 3") && l.contains("instance: 0")))
+        .collect();
+    assert_eq!(ranks.len(), 2, "one of them is the first, not all");
+    assert!(members.iter().all(|m| !m.log().contains("pool: fixed")));
+    members[2].balancer.child.kill().unwrap();
+    until("the death is known", || members[..2].iter().all(|m| m.logged("a member is down") > 0));
+    // On the way up it may have been 2: the last word counts.
+    let last = |m: &Operated| m.log().lines().rfind(|l| l.contains("instances: ")).map(str::to_string);
+    assert!(
+        members[..2].iter().all(|m| last(m).is_some_and(|l| l.contains("instances: 3"))),
+        "the size is held"
+    );
+}
