Answer no peer at an address that may not be sent to

Seen by reading: without a key the address that a datagram names was taken as it came, so that any process on the machine could have a member send to any host; only identities inside membership were checked. Lines at fault: `Peers::datagram` in crates/peers/src/lib.rs. Change: unspecified, multicast and broadcast addresses, and all but loopback where there is no key, are dropped and counted as `origin`. The new test sends each kind of datagram sealed with the key that all know and naming four such addresses; without the check they are answered or taken.

--- a/crates/peers/src/identity.rs
+++ b/crates/peers/src/identity.rs
@@ -1,7 +1,7 @@
 //! Who a member is.
 
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// The longest name of a member or of a zone, in bytes.
 pub const NAME_MOST: usize = 64;
@@ -33,13 +33,20 @@
     pub(crate) fn is_sound(&self, loopback_only: bool) -> bool {
         self.name.len() <= NAME_MOST
             && self.zone.len() <= NAME_MOST
-            && self.address.port() != 0
-            && !self.address.ip().is_unspecified()
-            && !self.address.ip().is_multicast()
-            && (!loopback_only || self.address.ip().is_loopback())
+            && may_be_sent_to(self.address, loopback_only)
     }
 }
 
+/// Whether datagrams may go to an address that a peer named. Without a key anybody on this machine can name one.
+pub(crate) fn may_be_sent_to(address: SocketAddr, loopback_only: bool) -> bool {
+    let ip = address.ip();
+    address.port() != 0
+        && !ip.is_unspecified()
+        && !ip.is_multicast()
+        && ip != IpAddr::V4(Ipv4Addr::BROADCAST)
+        && (!loopback_only || ip.is_loopback())
+}
+
 impl foca::Identity for Identity {
     type Addr = SocketAddr;
 
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -157,6 +157,8 @@
 /// One member of the fleet.
 pub struct Peers {
     set: Settings,
+    /// There is no key.
+    loopback_only: bool,
     rng: ChaCha8Rng,
     sealer: Sealer,
     swim: Swim,
@@ -225,6 +227,7 @@
             reported: Vec::new(),
             outputs: VecDeque::new(),
             counts: Counts::default(),
+            loopback_only,
             set,
             rng,
         }
@@ -335,6 +338,9 @@
         let opened = self.sealer.open(data)?;
         let (kind, boot, address, body, fresh) =
             (opened.kind, opened.boot, opened.address, opened.body, opened.fresh);
+        if !identity::may_be_sent_to(address, self.loopback_only) {
+            return Err(Rejected::Origin);
+        }
         if kind == Kind::Challenge {
             return self.challenged(now, address, body);
         }
--- a/crates/peers/tests/datagrams.rs
+++ b/crates/peers/tests/datagrams.rs
@@ -2,7 +2,7 @@
 //! more than came. The corpus holds what once mattered; the rest is drawn from real datagrams, changed.
 
 use garnettally_model::Micros;
-use garnettally_peers::{Input, Keys, Output, Peers, Settings, DATAGRAM_MOST};
+use garnettally_peers::{Input, Keys, Output, Peers, Rejected, Settings, DATAGRAM_MOST};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::net::SocketAddr;
@@ -145,6 +145,32 @@
     }
 }
 
+/// Guards against a member without a key that any process on the machine can have send to somebody else.
+#[test]
+fn without_a_key_nothing_goes_beyond_loopback() {
+    let (mut a, _, all) = recorded(false);
+    let key = blake3::derive_key("garnettally fleet link, loopback without a key", b"");
+    for ip in [[192, 0, 2, 7], [0, 0, 0, 0], [224, 0, 0, 1], [255, 255, 255, 255]] {
+        for kind in 0..=4u8 {
+            let whole = all.iter().find(|d| d[2] == kind).unwrap();
+            let mut data = whole[..whole.len() - 16].to_vec();
+            // Another life, reached at an IPv4 address as IPv6 writes it.
+            data[4..12].fill(9);
+            data[28..38].fill(0);
+            data[38..40].fill(0xff);
+            data[40..44].copy_from_slice(&ip);
+            let mac = blake3::keyed_hash(&key, &data);
+            data.extend(&mac.as_bytes()[..16]);
+            assert_eq!(
+                a.handle(Micros(3_000_000), Input::Datagram(&data)),
+                Err(Rejected::Origin),
+                "{ip:?} {kind}"
+            );
+            assert_eq!(sends(&mut a), []);
+        }
+    }
+}
+
 /// Guards against a flood of lives: each gets a challenge and no memory.
 #[test]
 fn many_lives_of_strangers_cost_nothing() {
