--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -145,7 +145,6 @@
         }
         self.merged = (version, now);
         let priors = self.merge(pools);
-        self.acted_on = priors.len() as u64;
         let mut heard = Vec::new();
         for p in pools {
             if let Some(e) = self.exchanges.get_mut(&p.id) {
@@ -153,6 +152,8 @@
                 heard.extend(told.into_iter().map(|h| (p.id, h)));
             }
         }
+        // Not what members say, but what modules here are told: of their own pools, and of nodes in their present life.
+        self.acted_on = self.exchanges.values().map(|e| e.told().count() as u64).sum();
         heard
     }
 
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -3,8 +3,8 @@
 //! A request goes once from left to right: `callers` (listeners and their connections) read it with the codec `http`,
 //! `admission` finds its route, class and pool, `exchange` keeps its life, `pools` ask their modules, and `upstreams`
 //! carry its attempts. `source` and `discovery` say where the nodes are, `lease` what connections and requests hold
-//! of the limits, `plan` what is to be served at all, `reload` what has changed of it, and `shutdown` how it ends. `fleet`, where the
-//! operator's file has it, is the link to the other balancers.
+//! of the limits, `plan` what is to be served at all, `reload` what has changed of it, and `shutdown` how it ends.
+//! `fleet`, where the operator's file has it, is the link to the other balancers.
 //! [`Proxy`] is the state that the event loop hands to each of them.
 #![forbid(unsafe_code)]
 
@@ -258,6 +258,8 @@
         .handle()
         .insert_source(signals, |event, _, proxy| match event.signal() {
             Signal::SIGHUP => proxy.reload(Instant::now()),
+            // The write that went over a limit has failed, and that is all.
+            Signal::SIGXFSZ => {}
             _ => proxy.begin_shutdown(),
         })
         .map_err(|e| e.to_string())?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -134,9 +134,11 @@
 }
 
 /// The signals are blocked before anything else: from here on none of them ends the process by itself, nor the
-/// log's thread, which inherits this.
+/// log's thread, which inherits this. SIGXFSZ is among them: a log that has come to a limit on its size costs lines,
+/// not the process.
 fn signals() -> Result<Signals, String> {
-    Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(|e| format!("signals: {e}"))
+    Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGXFSZ])
+        .map_err(|e| format!("signals: {e}"))
 }
 
 fn serve_platform() -> Result<(), String> {
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -217,3 +217,27 @@
         "the size is held"
     );
 }
+
+/// Guards against a log that has come to a limit on its size (or a full disk) and takes the process with it. The limit
+/// is set on the running process from outside, and lifted again.
+#[test]
+fn a_log_at_its_limit_costs_lines_and_not_the_process() {
+    use rustix::process::{prlimit, Pid, Resource, Rlimit};
+    let up = Upstream::start(|_| ok("x"));
+    let file = ALONE.replace("127.0.0.1:9\"", &format!("{}\"", up.address));
+    let mut b = Operated::start(&file);
+    let pid = Pid::from_child(&b.balancer.child);
+    let held = b.log().len() as u64;
+    let limit = |most| Rlimit { current: most, maximum: None };
+    prlimit(Some(pid), Resource::Fsize, limit(Some(held))).unwrap();
+    for _ in 0..3 {
+        b.balancer.signal("HUP");
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        assert_eq!(b.ask(&get("/")).status(), 200, "it serves on");
+    }
+    assert!(b.balancer.child.try_wait().unwrap().is_none(), "it has ended");
+    assert_eq!(b.log().len() as u64, held, "the limit was not met: nothing was tried");
+    prlimit(Some(pid), Resource::Fsize, limit(None)).unwrap();
+    b.reload(&file);
+    assert_eq!(b.ask(&get("/")).status(), 200);
+}
