--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -17,7 +17,7 @@
 use rand::TryRng;
 use rustix::time::{clock_gettime, ClockId};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, Read};
 use std::net::{SocketAddr, UdpSocket};
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -73,6 +73,8 @@
 
 /// Datagrams that one call of [`Link::readable`] takes: some hundred microseconds of work.
 const READ_AT_ONCE: usize = 32;
+/// Bytes that are read of a key file: it holds eight keys at the most, and comments.
+const KEY_FILE_MOST: u64 = 64 << 10;
 /// Bytes that the kernel may hold for us while the loop is busy.
 const SOCKET_BUFFER: usize = 1 << 20;
 
@@ -107,8 +109,9 @@
 }
 
 fn read_keys(path: &PathBuf) -> Result<Keys, LinkError> {
-    let text =
-        std::fs::read_to_string(path).map_err(|source| LinkError::KeyFile { path: path.clone(), source })?;
+    let mut text = String::new();
+    let read = std::fs::File::open(path).and_then(|f| f.take(KEY_FILE_MOST).read_to_string(&mut text));
+    read.map_err(|source| LinkError::KeyFile { path: path.clone(), source })?;
     Keys::parse(&text).map_err(|source| LinkError::Keys { path: path.clone(), source })
 }
 
@@ -322,6 +325,14 @@
         assert_eq!(link.counts().sent, 0);
     }
 
+    /// Guards against a key file without an end that holds up the start, or a SIGHUP, for good.
+    #[test]
+    fn a_key_file_without_an_end_is_refused() {
+        let mut set = settings("a");
+        set.key_file = Some("/dev/zero".into());
+        assert!(Link::open(set).err().unwrap().to_string().contains("line 1"));
+    }
+
     #[test]
     fn a_key_file_that_is_wrong_is_named_with_its_line() {
         let path = std::env::temp_dir().join(format!("garnettally-link-{}.keys", std::process::id()));
