Reserve test addresses without listening on them, so that no forked copy takes connections

Checked and ruled out: the read time-out (20 s); closing for want of room (1,024 sockets, one caller); the connection of another test (each has a host of its own); a crash of the program (the until loop would have gone on). The reserved socket listened (`free_address` in tests/support, `free_addresses` in the drill); a process that another test forks at that moment holds a copy until its exec, takes the connection meant for the program under test, and resets it.

Change: addresses are bound, never listened on; the program may bind them while a copy is open, as both set SO_REUSEADDR.

--- a/crates/drill/src/process.rs
+++ b/crates/drill/src/process.rs
@@ -1,9 +1,10 @@
 //! The processes of a drill: the program on a file of its own, and what is done to it.
 
 use rustix::process::{kill_process, Pid, Signal};
+use socket2::{Domain, Socket, Type};
 use std::fs::File;
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
@@ -37,9 +38,17 @@
 /// Addresses that are free now; each process gets a loopback host of its own, so that no other takes its port.
 pub fn free_addresses(at: usize) -> io::Result<[SocketAddr; 3]> {
     let host = format!("127.{}.{}.{}:0", 32 + at / 250, std::process::id() % 250 + 1, at % 250 + 1);
-    let tcp = [TcpListener::bind(&host)?, TcpListener::bind(&host)?];
-    let udp = UdpSocket::bind(&host)?;
-    Ok([udp.local_addr()?, tcp[0].local_addr()?, tcp[1].local_addr()?])
+    let at: SocketAddr = host.parse().map_err(io::Error::other)?;
+    // Bound, not listening: a copy that a forked process still holds would take a member's connections.
+    let bound = |kind: Type| {
+        let socket = Socket::new(Domain::for_address(at), kind, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&at.into())?;
+        Ok::<Socket, io::Error>(socket)
+    };
+    let sockets = [bound(Type::DGRAM)?, bound(Type::STREAM)?, bound(Type::STREAM)?];
+    let address = |s: &Socket| s.local_addr()?.as_socket().ok_or_else(|| io::Error::other("no address"));
+    Ok([address(&sockets[0])?, address(&sockets[1])?, address(&sockets[2])?])
 }
 
 impl Member {
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -46,7 +46,7 @@
 
 /// An address where nothing listens: connections are refused.
 fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    bound_once("127.0.0.1:0".parse().unwrap())
 }
 
 fn body(m: &Message) -> String {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! The real program as a process, and the parties it talks to: upstreams, discovery and clients.
 #![allow(dead_code)] // each test program uses its part
 
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -241,11 +242,21 @@
     )
 }
 
-/// An address of its own that nobody listens on: no other test, and no outgoing connection, uses its host.
+/// An address of its own that nobody listens on: no other test, and no outgoing connection, uses its host. It is bound
+/// here and never listened on: a process that another test forks just now holds a copy of the socket until it runs its
+/// program, and a copy that listens would take connections meant for the program under test, and reset them.
 pub fn free_address() -> SocketAddr {
     let n = CONFIGS.fetch_add(1, Ordering::SeqCst);
     let host = format!("127.{}.{}.{}:0", 64 + n / 250, std::process::id() % 250 + 1, n % 250 + 1);
-    TcpListener::bind(host).unwrap().local_addr().unwrap()
+    bound_once(host.parse().unwrap())
+}
+
+/// The address that a socket gets when it is bound there.
+pub fn bound_once(at: SocketAddr) -> SocketAddr {
+    let socket = Socket::new(Domain::for_address(at), Type::STREAM, None).unwrap();
+    socket.set_reuse_address(true).unwrap();
+    socket.bind(&at.into()).unwrap();
+    socket.local_addr().unwrap().as_socket().unwrap()
 }
 
 impl Balancer {
