Let one member at a time own a duty: voters, leases, epochs, a store, `duties`, and the export

Work done once for the fleet must not stop when its owner dies, and an owner that wakes late must do no harm.

Letters of more than one datagram in crates/peers. [fleet.duties], `garnettally duties` with move and release, /duties, figures, the duty `export`. The drill gets duties, disks, drawn faults and a sink.

--- a/crates/config/src/file/fleet.rs
+++ b/crates/config/src/file/fleet.rs
@@ -46,6 +46,45 @@
     pub send_bytes: u64,
     /// Datagrams a second that are looked at at the most.
     pub receive_datagrams: u64,
+    /// Work that one member does on behalf of all.
+    pub duties: Option<Duties>,
+}
+
+/// The fleet's duties, and who decides about them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Duties {
+    /// The names of the voters, numbered from 1 in this order.
+    pub voters: Vec<String>,
+    /// Where this member's votes are stored, if it is a voter.
+    pub folder: Option<PathBuf>,
+    /// For how long a voter's promise holds.
+    pub lease: Duration,
+    /// Duties whose work others do.
+    pub names: Vec<String>,
+    /// The duty of telling a sink all members' figures.
+    pub export: Option<Export>,
+}
+
+/// Where all members' figures are told.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Export {
+    /// The sink.
+    pub address: SocketAddr,
+    /// The path of its POST.
+    pub path: String,
+    /// How often.
+    pub every: Duration,
+}
+
+/// The name of the duty that tells a sink.
+const EXPORT: &str = "export";
+
+impl Duties {
+    /// The names of all duties.
+    pub fn all(&self) -> Vec<String> {
+        let export = self.export.iter().map(|_| EXPORT.to_string());
+        self.names.iter().cloned().chain(export).collect()
+    }
 }
 
 /// News has to pass several members before it is void.
@@ -148,6 +187,7 @@
             max_age,
             members,
             facts: self.whole(&key.key("facts"), f.facts, 8192, 64, 1 << 20),
+            duties: f.duties.as_ref().map(|d| self.duties(&key.key("duties"), d, name)),
             size_floor: size_floor as u32,
             size_hold: self.time(&key.key("size_hold"), f.size_hold.as_ref(), 60 * second, Duration::ZERO),
             send_bytes: self.whole(&key.key("send_kb"), f.send_kb, 256, 8, 65_536) as u64 * 1024,
@@ -160,4 +200,69 @@
             ) as u64,
         }
     }
+
+    fn duties(&mut self, key: &Path, d: &format::Duties, name: Option<&String>) -> Duties {
+        let distinct: std::collections::BTreeSet<&String> = d.voters.iter().collect();
+        if !matches!(d.voters.len(), 1 | 3 | 5 | 7) || distinct.len() != d.voters.len() {
+            let what = format!("names {} members, {} of them different", d.voters.len(), distinct.len());
+            self.note(&key.key("voters"), &what, "name 1, 3, 5 or 7 different members");
+        }
+        let votes = name.is_some_and(|n| d.voters.contains(n));
+        if votes && d.folder.is_none() {
+            let name = name.map_or("", String::as_str);
+            let what = format!("is missing, and {name:?} is one of fleet.duties.voters");
+            self.note(&key.key("folder"), &what, "a voter has to store what it promises: give it a folder");
+        }
+        if !votes && d.folder.is_some() {
+            let what = "is given, and this member is not one of fleet.duties.voters";
+            self.note(&key.key("folder"), what, "take it out, or name this member as a voter");
+        }
+        let ms = Duration::from_millis(1);
+        let lease = self.time(&key.key("lease"), d.lease.as_ref(), 1000 * ms, 200 * ms);
+        if lease > Duration::from_secs(60) {
+            self.note(
+                &key.key("lease"),
+                "is longer than a minute",
+                "a dead owner's work would stand still: lower it",
+            );
+        }
+        for (i, n) in d.names.iter().enumerate() {
+            let fits =
+                !n.is_empty() && n.len() <= 64 && !n.chars().any(|c| c.is_control() || c.is_whitespace());
+            if !fits || d.names[..i].contains(n) {
+                self.note(
+                    &key.key("names").at(i),
+                    "is no name of its own",
+                    "use 1 to 64 bytes without spaces, once",
+                );
+            }
+        }
+        if d.names.len() > 1000 {
+            self.note(&key.key("names"), "names more than 1000 duties", "name fewer");
+        }
+        Duties {
+            voters: d.voters.clone(),
+            folder: d.folder.as_ref().map(PathBuf::from),
+            lease,
+            names: d.names.clone(),
+            export: d.export.as_ref().map(|e| self.export(&key.key("export"), d, e)),
+        }
+    }
+
+    fn export(&mut self, key: &Path, d: &format::Duties, e: &format::Export) -> Export {
+        if d.names.iter().any(|n| n == EXPORT) {
+            let what = "is also a name in fleet.duties.names";
+            self.note(key, what, "take it out there: this table makes the duty \"export\"");
+        }
+        let path = e.path.clone().unwrap_or_else(|| "/".into());
+        if !path.starts_with('/') || path.bytes().any(|b| b <= b' ' || b >= 127) || path.len() > 1024 {
+            self.note(&key.key("path"), "is no path", "begin it with a slash, without spaces");
+        }
+        let ms = Duration::from_millis(1);
+        Export {
+            address: self.address(&key.key("address"), &e.address),
+            path,
+            every: self.time(&key.key("every"), e.every.as_ref(), 10_000 * ms, 100 * ms),
+        }
+    }
 }
--- a/crates/config/src/file/format.rs
+++ b/crates/config/src/file/format.rs
@@ -193,6 +193,43 @@
     /// Datagrams a second that are looked at at the most. Default: 10000. 100 to 1000000.
     #[serde(default)]
     pub receive_datagrams: Option<usize>,
+    /// Work that one member does on behalf of all. Default: there is none.
+    #[serde(default)]
+    pub duties: Option<Duties>,
+}
+
+/// Work that one member at a time does on behalf of the fleet, and who decides which.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Duties {
+    /// Names of the members that decide: 1, 3, 5 or 7, the same in all files, in the same order.
+    pub voters: Vec<String>,
+    /// Folder for what a voter has promised. Required where this member is one; on a disk of its own that is synced.
+    #[serde(default)]
+    pub folder: Option<String>,
+    /// For how long a promise holds: a dead owner's work stands still for about so long. Default: "1s". 200 ms to 1 min.
+    #[serde(default)]
+    pub lease: Option<Time>,
+    /// Names of duties whose work others do: they ask the admin address of a member whether it may. Default: none.
+    #[serde(default)]
+    pub names: Vec<String>,
+    /// The duty "export": all members' figures, told to a sink. Default: there is none.
+    #[serde(default)]
+    pub export: Option<Export>,
+}
+
+/// The figures of all members, told to a sink over HTTP by whoever owns the duty.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Export {
+    /// Address and port of the sink.
+    pub address: String,
+    /// The path of its POST. Default: "/".
+    #[serde(default)]
+    pub path: Option<String>,
+    /// How often. Default: "10s". 100 ms or more.
+    #[serde(default)]
+    pub every: Option<Time>,
 }
 
 /// A part of a limit: what is its own, and the most that it may have.
--- a/crates/config/src/file/mod.rs
+++ b/crates/config/src/file/mod.rs
@@ -9,7 +9,7 @@
 pub mod problems;
 
 pub use check::{Basis, Listener, Logging, Nodes, Operator, Pool};
-pub use fleet::Fleet;
+pub use fleet::{Duties, Export, Fleet};
 pub use problems::{Path, Problem, Problems, Step};
 
 use check::Check;
--- a/crates/drill/src/http.rs
+++ b/crates/drill/src/http.rs
@@ -9,12 +9,23 @@
 
 /// Status and body of `GET path`. `Err`: no whole answer came in time, and why.
 pub fn get(address: SocketAddr, path: &str, patience: Duration) -> Result<(u16, String), String> {
+    call(address, "GET", path, patience)
+}
+
+/// The same with another method and no body.
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    patience: Duration,
+) -> Result<(u16, String), String> {
     let end = Instant::now() + patience;
     let left = || Some(end.saturating_duration_since(Instant::now()).max(Duration::from_millis(1)));
     let told = |e: std::io::Error| e.to_string();
     let mut stream = TcpStream::connect_timeout(&address, patience).map_err(told)?;
     stream.set_write_timeout(left()).map_err(told)?;
-    write!(stream, "GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n").map_err(told)?;
+    write!(stream, "{method} {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n")
+        .map_err(told)?;
     let (mut answer, mut part) = (Vec::new(), [0; 16 << 10]);
     loop {
         if answer.len() > MOST || Instant::now() >= end {
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -6,12 +6,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod draw;
 pub mod http;
 mod process;
 mod relay;
 mod report;
 mod run;
 mod script;
+mod sink;
 
 pub use report::Report;
 pub use run::{run, DrillError};
--- a/crates/drill/src/report.rs
+++ b/crates/drill/src/report.rs
@@ -1,6 +1,7 @@
 //! What a drill saw, and the invariants that it held it against.
 
 use crate::script::{Fault, Script, What};
+use crate::sink::Met;
 use plotters::prelude::*;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
@@ -103,6 +104,19 @@
     sick_requests: Vec<u64>,
     /// Whether a member has met the other version.
     others_met: BTreeMap<usize, bool>,
+    /// By duty and epoch, the member that had it.
+    owners: BTreeMap<(String, u64), String>,
+    /// By duty: the highest epoch that was seen acting, and when that was told; and since when nobody was seen to act.
+    acting: BTreeMap<String, (u64, Duration, String)>,
+    idle: BTreeMap<String, Duration>,
+    /// By duty: who was seen to act last, and when.
+    seen_acting: BTreeMap<String, Duration>,
+    /// Since when an owner could have been found; faults begin it anew.
+    could: Option<Duration>,
+    gaps: Vec<Duration>,
+    /// Members whose folder is an old copy, and since when.
+    restored: BTreeMap<usize, Duration>,
+    sink_met: Option<Met>,
 }
 
 impl Checks {
@@ -121,6 +135,14 @@
             known: true,
             sick_requests: Vec::new(),
             others_met: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            acting: BTreeMap::new(),
+            idle: BTreeMap::new(),
+            seen_acting: BTreeMap::new(),
+            could: Some(Duration::ZERO),
+            gaps: Vec::new(),
+            restored: BTreeMap::new(),
+            sink_met: None,
         }
     }
 
@@ -193,8 +215,106 @@
         check.hold(matches!(got, Ok((200, _))), || format!("{at:.2?} m{i}: {got:?}"));
     }
 
+    /// What a member told of the duties that it owns, between these two times.
+    pub fn duties(&mut self, member: usize, asked: Duration, came: Duration, told: &Value) {
+        let life = told["life"].as_str().unwrap_or("").to_string();
+        if let Some(since) =
+            self.restored.get(&member).copied().filter(|s| asked > *s + Duration::from_secs(3))
+        {
+            let standing = told["standing"].as_str().unwrap_or("").to_string();
+            self.check("an old copy may not vote").hold(standing == "old copy", || {
+                format!("{asked:.2?}: m{member} {standing} since {since:.2?}")
+            });
+        }
+        for d in told["owned"].as_array().into_iter().flatten() {
+            let (Some(duty), Some(epoch)) = (d["duty"].as_str(), d["epoch"].as_u64()) else { continue };
+            let duty = duty.to_string();
+            let whose = self.owners.entry((duty.clone(), epoch)).or_insert_with(|| life.clone()).clone();
+            let same = whose == life;
+            self.check("no epoch is of two lives")
+                .hold(same, || format!("{duty} {epoch}: {whose} and {life}"));
+            if d["acts"] != true {
+                continue;
+            }
+            // One that was asked after a higher epoch was seen to act must not act under a lower one.
+            let before = self.acting.get(&duty).cloned();
+            if let Some((highest, when, by)) = &before {
+                let holds = epoch >= *highest || asked <= *when;
+                self.check("no owner acts after a later one").hold(holds, || {
+                    format!("{asked:.2?}: m{member} acts on {duty} under {epoch}, {by} did under {highest}")
+                });
+            }
+            if before.is_none_or(|(highest, _, _)| epoch > highest) {
+                self.acting.insert(duty.clone(), (epoch, came, format!("m{member}")));
+            }
+            self.seen_acting.insert(duty, came);
+        }
+    }
+
+    /// How long duties have been without an owner that acts; `could`: a majority of voters is there.
+    pub fn gaps(&mut self, at: Duration, could: bool) {
+        let Some(d) = self.script.duties.clone() else { return };
+        let lease = d.lease.unwrap_or(Duration::from_secs(1));
+        let bound = d.gap.unwrap_or(3 * lease + Duration::from_secs(4));
+        self.could = if could { self.could.or(Some(at)) } else { None };
+        for duty in &d.names {
+            let seen = self.seen_acting.get(duty).copied();
+            // Seen within the last looks: it is owned.
+            let fresh = seen.is_some_and(|s| at.saturating_sub(s) < Duration::from_millis(300));
+            match (fresh, self.idle.get(duty).copied()) {
+                (true, Some(since)) => {
+                    self.idle.remove(duty);
+                    let gap = seen.unwrap_or(at).saturating_sub(since);
+                    self.gaps.push(gap);
+                }
+                (false, None) => {
+                    self.idle.insert(duty.clone(), seen.unwrap_or(Duration::ZERO));
+                }
+                _ => {}
+            }
+            if let (Some(&since), Some(could)) = (self.idle.get(duty), self.could) {
+                // Counted from when there is a majority, and from the last fault.
+                let fault = self.faults.last().map_or(Duration::ZERO, |f| f.0);
+                let gap = at.saturating_sub(since.max(could).max(fault));
+                self.check("each duty has an owner again").within(gap, bound, duty);
+            } else if fresh {
+                self.check("each duty has an owner again").tried += 1;
+            }
+        }
+    }
+
+    /// What the sink has met; these members run.
+    pub fn sink(&mut self, met: &Met, runs: BTreeSet<String>) {
+        if !self.script.duties.as_ref().is_some_and(|d| d.export) {
+            return;
+        }
+        let fresh = met.last.is_some_and(|l| l.elapsed() < Duration::from_secs(2));
+        self.check("the sink is told at the end")
+            .hold(fresh, || format!("taken {}, last {:?}", met.taken, met.last));
+        let (taken, twice, shared) = (met.taken, met.twice, met.shared);
+        self.check("the sink is told nothing twice")
+            .hold(taken > 0 && twice == 0, || format!("{twice} of {taken}"));
+        self.check("no epoch of two lives at the sink").hold(shared == 0, || format!("{shared} of {taken}"));
+        let members = met.members.clone();
+        self.check("the sink has all members' figures")
+            .hold(members == runs, || format!("those of {members:?}, and there are {runs:?}"));
+        self.sink_met = Some(met.clone());
+    }
+
+    pub fn duties_end(&mut self, at: Duration) {
+        let Some(d) = self.script.duties.clone() else { return };
+        for duty in &d.names {
+            let acts =
+                self.seen_acting.get(duty).is_some_and(|s| at.saturating_sub(*s) < Duration::from_secs(2));
+            self.check("each duty has an owner at the end").hold(acts, || format!("{duty} has none"));
+        }
+    }
+
     pub fn fault(&mut self, at: Duration, f: &Fault) {
         self.faults.push((at, f.clone()));
+        if f.what == What::RestoreCopy {
+            self.restored.extend(f.members.iter().map(|&m| (m, at)));
+        }
         if f.what.of_nodes() {
             let before = self.sick.clone();
             match f.what {
@@ -404,6 +524,11 @@
             cpu_percent: mean(|c| c.0) as f64 / 10.0 / seconds,
             memory_kb: mean(|c| c.1),
             sick_requests: self.sick_requests.iter().sum(),
+            sink: self.sink_met,
+            gaps: {
+                self.gaps.sort_unstable();
+                self.gaps
+            },
         }
     }
 }
@@ -422,6 +547,9 @@
     cpu_percent: f64,
     memory_kb: u64,
     sick_requests: u64,
+    /// How long duties had no owner that acts, the shortest first.
+    gaps: Vec<Duration>,
+    sink: Option<Met>,
 }
 
 impl Report {
@@ -466,6 +594,20 @@
         if self.sick_requests > 0 {
             let _ = writeln!(out, "requests that nodes got while they were sick: {}", self.sick_requests);
         }
+        if let (Some(middle), Some(worst)) = (self.gaps.get(self.gaps.len() / 2), self.gaps.last()) {
+            let _ = writeln!(
+                out,
+                "duties without an owner that acts: {} times, median {middle:.2?}, worst {worst:.2?}",
+                self.gaps.len()
+            );
+        }
+        if let Some(s) = &self.sink {
+            let _ = writeln!(
+                out,
+                "the sink took {}, refused {} of older epochs; longest without a word {:.2?}",
+                s.taken, s.refused, s.longest
+            );
+        }
         let _ = writeln!(out, "{}", if self.passed() { "drill passed" } else { "drill failed" });
         out
     }
--- a/crates/drill/src/script.rs
+++ b/crates/drill/src/script.rs
@@ -32,6 +32,9 @@
     /// Keys of `[fleet]` in the members' files, as they are written there.
     #[serde(default)]
     pub fleet: BTreeMap<String, toml::Value>,
+    /// Work that one member does for all: each member's file has it, and checks hold to it.
+    #[serde(default)]
+    pub duties: Option<Duties>,
     /// Members that start later than the drill: by a fault "start".
     #[serde(default)]
     pub late: Vec<usize>,
@@ -59,11 +62,37 @@
     /// And delays each by up to this, which has them overtake each other.
     #[serde(default, with = "humantime_option")]
     pub delay: Option<Duration>,
+    /// So many faults of processes, links and disks are drawn by the seed, beside `faults`.
+    #[serde(default)]
+    pub drawn: usize,
     /// What is done to them.
     #[serde(default)]
     pub faults: Vec<Fault>,
 }
 
+/// The fleet's duties.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Duties {
+    /// The first so many members are voters: 1, 3, 5 or 7.
+    pub voters: usize,
+    /// Names of duties.
+    pub names: Vec<String>,
+    /// Whoever owns the duty "export" tells a stand-in sink five times a second.
+    #[serde(default)]
+    pub export: bool,
+    /// Members whose files name themselves as the only voter: a wrong configuration, which checks have to show.
+    #[serde(default)]
+    pub alone: Vec<usize>,
+    /// Default: that of the program, 1 s.
+    #[serde(default, with = "humantime_option")]
+    pub lease: Option<Duration>,
+    /// Each duty has an owner that acts within this after a fault, where a majority of voters is there. Default: three
+    /// leases and 4 s, on a machine that is busy with the drill itself.
+    #[serde(default, with = "humantime_option")]
+    pub gap: Option<Duration>,
+}
+
 /// One fault, or the end of one.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -105,6 +134,18 @@
     RotateKeys,
     /// The old key goes.
     DropOldKey,
+    /// The processes' files can't grow any more, as on a full disk: a limit that is set on them from outside.
+    FillDisk,
+    /// They can.
+    FreeDisk,
+    /// The folders in which voters store what they promise are removed under the running process.
+    RemoveFolder,
+    /// Of members that are gone: what they stored ends in a record that was cut off in the middle, as by a power cut.
+    TearFile,
+    /// Of members that are gone: a copy of their folders is kept.
+    KeepCopy,
+    /// Of members that are gone: the copy takes the place of what they stored since.
+    RestoreCopy,
     /// Nodes take requests and answer none. `members` are nodes.
     HangNodes,
     /// Nodes answer 500 at once. `members` are nodes.
@@ -139,6 +180,17 @@
 }
 
 impl Script {
+    /// The script with what is drawn in its place among the faults.
+    pub fn with_drawn(&self) -> Script {
+        let mut s = self.clone();
+        if s.drawn > 0 {
+            s.faults.extend(crate::draw::faults(self, self.drawn));
+            s.faults.sort_by_key(|f| f.at);
+            s.drawn = 0;
+        }
+        s
+    }
+
     /// Whether a member can't be one of the fleet: it has another key, or speaks another version.
     pub fn is_outside(&self, member: usize) -> bool {
         self.strangers.contains(&member) || self.other_version.contains(&member)
@@ -193,6 +245,11 @@
         if let Some(i) = listed.chain(named).find(|&&i| i >= s.members) {
             return wrong(format!("member {i} is named, and there are {}", s.members));
         }
+        if let Some(d) = &s.duties {
+            if !matches!(d.voters, 1 | 3 | 5 | 7) || d.voters > s.members || d.names.is_empty() {
+                return wrong(format!("duties: 1, 3, 5 or 7 voters of {} members, and a name", s.members));
+            }
+        }
         for (i, f) in s.faults.iter().enumerate() {
             let whole = matches!(f.what, What::Heal | What::RotateKeys | What::DropOldKey);
             if whole != f.members.is_empty() {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -98,12 +98,13 @@
     inward: Bucket,
     dropped: Dropped,
     events: Vec<Event>,
+    letters: Vec<(u64, Vec<u8>)>,
     buffer: Vec<u8>,
 }
 
-/// The time since the machine started. It goes on while the machine sleeps and while the process is stopped: what was
+/// The time since the machine started, by which all of the fleet's times are measured. It goes on while the machine sleeps and while the process is stopped: what was
 /// known before is as old afterwards as it really is.
-fn boot_time() -> Micros {
+pub fn boot_time() -> Micros {
     let t = clock_gettime(ClockId::Boottime);
     Micros(t.tv_sec.saturating_mul(1_000_000).saturating_add(t.tv_nsec / 1_000))
 }
@@ -138,6 +139,7 @@
             inward,
             dropped: Dropped::default(),
             events: Vec::new(),
+            letters: Vec::new(),
             buffer: vec![0; DATAGRAM_MOST + 1],
         })
     }
@@ -194,6 +196,18 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Letters that have come since the last call, with the lives of who wrote them.
+    pub fn take_letters(&mut self) -> Vec<(u64, Vec<u8>)> {
+        std::mem::take(&mut self.letters)
+    }
+
+    /// Sends a letter to a member, by its life. `false`: no such member is known.
+    pub fn send_letter(&mut self, life: u64, letter: &[u8]) -> bool {
+        let sent = self.peers.send_letter(life, letter);
+        self.flush(boot_time());
+        sent
+    }
+
     /// Reads the key file again; on an error the keys before stay in force.
     pub fn reread_keys(&mut self) -> Result<(), LinkError> {
         if let Some(path) = &self.key_file {
@@ -257,6 +271,7 @@
         while let Some(output) = self.peers.poll() {
             match output {
                 Output::Event(e) => self.events.push(e),
+                Output::Letter(from, letter) => self.letters.push((from, letter)),
                 Output::Send(to, data) => {
                     if !self.out.take(now, data.len() as u64) {
                         self.dropped.unsent += 1;
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -3,7 +3,7 @@
 use std::ops::{Add, AddAssign, Sub};
 
 /// A time or a length of time, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Micros(pub i64);
 
 impl Add for Micros {
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -8,15 +8,18 @@
 
 mod facts;
 mod identity;
+mod letters;
 mod seal;
 mod swim;
 
 pub use facts::{Fact, KEY_MOST, VALUE_MOST};
 pub use identity::{Identity, NAME_MOST};
+pub use letters::LETTER_MOST;
 pub use seal::{KeyError, Keys, Rejected, DATAGRAM_MOST, VERSION};
 
 use facts::Facts;
 use garnettally_model::Micros;
+use letters::Letters;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
@@ -106,6 +109,8 @@
     Send(SocketAddr, Vec<u8>),
     /// Take note.
     Event(Event),
+    /// A letter has come from this life.
+    Letter(u64, Vec<u8>),
 }
 
 /// What the caller hands in.
@@ -163,6 +168,7 @@
     sealer: Sealer,
     swim: Swim,
     facts: Facts,
+    letters: Letters,
     /// Questions that are open, by number.
     asked: FxHashMap<u64, Asked>,
     next_question: u64,
@@ -213,6 +219,7 @@
             sealer: Sealer::new(keys, boot, set.address, secret, set.members_most),
             swim: Swim::new(me, &set, loopback_only, swim_rng, now),
             facts: Facts::new(boot, micros(set.max_age), set.facts_most),
+            letters: Letters::default(),
             asked: FxHashMap::default(),
             next_question: rng.next_u64(),
             cursors: FxHashMap::default(),
@@ -279,6 +286,15 @@
         taken
     }
 
+    /// Sends a letter to a member that is known, by its life: it comes whole, or not at all. `false`: there is no such member, or
+    /// it is longer than [`LETTER_MOST`].
+    pub fn send_letter(&mut self, life: u64, letter: &[u8]) -> bool {
+        let Some(address) = self.address_of(life) else { return false };
+        let Some(parts) = self.letters.cut(letter, BODY_MOST) else { return false };
+        parts.iter().for_each(|body| self.send(address, Kind::Letter, body));
+        true
+    }
+
     /// What holds now: none is older than [`Settings::max_age`].
     pub fn facts(&self, now: Micros) -> impl Iterator<Item = Fact<'_>> {
         self.facts.iter(now)
@@ -355,6 +371,15 @@
             Kind::Swim | Kind::Challenge => Err(Rejected::Malformed),
             Kind::Pull => self.answer(now, address, body),
             Kind::Facts => self.learn(now, boot, body),
+            Kind::Letter => match self.letters.take(now, boot, body) {
+                Ok(Some(letter)) => {
+                    self.outputs.push_back(Output::Letter(boot, letter));
+                    Ok(())
+                }
+                Ok(None) => Ok(()),
+                Err(true) => Err(Rejected::Malformed),
+                Err(false) => Err(Rejected::Bound),
+            },
             Kind::News => {
                 // One question at a time: a peer that says so all the time gets no more answers by it.
                 if !self.asked.values().any(|a| a.to == boot && now - a.at < micros(self.set.ask_every)) {
@@ -494,6 +519,7 @@
         }
         if now >= self.tidy_at {
             self.tidy_at = now + micros(self.set.probe_period);
+            self.letters.expire(now);
             for address in self.swim.tidy() {
                 self.sealer.forget(address);
                 self.unheard.remove(&address);
--- a/crates/peers/src/seal.rs
+++ b/crates/peers/src/seal.rs
@@ -36,6 +36,8 @@
     Facts,
     /// "I have news": whoever hears it asks.
     News,
+    /// A part of a letter.
+    Letter,
 }
 
 /// Why a datagram is dropped.
@@ -255,6 +257,7 @@
             2 => Kind::Pull,
             3 => Kind::Facts,
             4 => Kind::News,
+            5 => Kind::Letter,
             _ => return Err(Rejected::Malformed),
         };
         let (boot, counter, token) = (number(data, 4), number(data, 12), number(data, 20));
--- a/crates/peers/tests/net/mod.rs
+++ b/crates/peers/tests/net/mod.rs
@@ -31,6 +31,7 @@
     /// What came while it was paused.
     inbox: Vec<Vec<u8>>,
     pub events: Vec<Event>,
+    pub letters: Vec<(u64, Vec<u8>)>,
 }
 
 pub struct Net {
@@ -75,6 +76,7 @@
                 paused: false,
                 inbox: Vec::new(),
                 events: Vec::new(),
+                letters: Vec::new(),
             };
             net.nodes.push(node);
             net.start(i);
@@ -160,6 +162,7 @@
             let Some(output) = self.nodes[i].peers.as_mut().and_then(Peers::poll) else { return };
             match output {
                 Output::Event(e) => self.nodes[i].events.push(e),
+                Output::Letter(from, letter) => self.nodes[i].letters.push((from, letter)),
                 Output::Send(to, data) => {
                     self.bytes += data.len() as u64;
                     let to = usize::from(to.port()) - 1000;
--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -27,6 +27,10 @@
     Stats,
     /// `GET /members`: the fleet, where there is one.
     Members,
+    /// `GET /duties`: the fleet's duties, where there are any.
+    Duties,
+    /// `PUT /duties/DUTY/MEMBER`: an operator wants a duty there; `PUT /duties/DUTY`: anywhere else.
+    Move,
     /// `PUT /healthcheck/fail`: the drain begins.
     Fail,
     /// `PUT /healthcheck/ok`: the drain ends.
@@ -45,15 +49,26 @@
         ("GET" | "HEAD", "/healthcheck") => Call::Health,
         ("GET" | "HEAD", "/stats") => Call::Stats,
         ("GET" | "HEAD", "/members") => Call::Members,
+        ("GET" | "HEAD", "/duties") => Call::Duties,
+        ("PUT", path) if wish(path).is_some() => Call::Move,
         ("PUT" | "POST", "/healthcheck/fail") => Call::Fail,
         ("PUT" | "POST", "/healthcheck/ok") => Call::Ok,
-        (_, "/healthcheck" | "/stats" | "/members" | "/healthcheck/fail" | "/healthcheck/ok") => {
+        (_, "/healthcheck" | "/stats" | "/members" | "/duties" | "/healthcheck/fail" | "/healthcheck/ok") => {
             Call::WrongMethod
         }
         _ => Call::Unknown,
     }
 }
 
+/// The duty, and the member, that a path of `PUT /duties/...` names.
+fn wish(path: &str) -> Option<(&str, Option<&str>)> {
+    let (duty, member) = match path.strip_prefix("/duties/")?.split_once('/') {
+        Some((duty, member)) => (duty, Some(member)),
+        None => (path.strip_prefix("/duties/")?, None),
+    };
+    (!duty.is_empty() && member.is_none_or(|m| !m.is_empty())).then_some((duty, member))
+}
+
 /// What is read of a call so far.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Parsed {
@@ -261,14 +276,17 @@
         }
         let parsed = parse(&conn.input);
         match (parsed, reading) {
-            (Parsed::Whole(call), _) => self.admin_call(id, call),
+            (Parsed::Whole(call), _) => {
+                let input = std::mem::take(&mut conn.input);
+                self.admin_call(id, call, &input);
+            }
             (Parsed::Bad, _) => self.admin.answer(&self.net, id, 400, b""),
             (Parsed::Partial, Reading::Open) => {}
             (Parsed::Partial, _) => self.admin.drop_conn(&self.net, id),
         }
     }
 
-    fn admin_call(&mut self, id: ConnId, call: Call) {
+    fn admin_call(&mut self, id: ConnId, call: Call, head: &[u8]) {
         let now = Instant::now();
         let (status, body) = match call {
             Call::Health if self.ready() => (200, b"ok\n".to_vec()),
@@ -278,6 +296,20 @@
                 Some(fleet) => (200, fleet.json().to_string().into_bytes()),
                 None => (404, Vec::new()),
             },
+            Call::Duties => match self.fleet.as_ref().and_then(|f| f.duties()) {
+                Some(duties) => (200, duties.to_string().into_bytes()),
+                None => (404, Vec::new()),
+            },
+            Call::Move => {
+                let line = String::from_utf8_lossy(head);
+                let path = line.split(' ').nth(1).unwrap_or("").split('?').next().unwrap_or("").to_string();
+                let wished = wish(path.trim_end_matches('/')).zip(self.fleet.as_mut());
+                match wished.and_then(|((duty, member), fleet)| fleet.wish(duty, member)) {
+                    Some(Ok(())) => (200, b"told the voters\n".to_vec()),
+                    Some(Err(why)) => (409, (why + "\n").into_bytes()),
+                    None => (404, Vec::new()),
+                }
+            }
             Call::Fail => {
                 if self.admin.failed_at.is_none() {
                     info!(self.net.log, "drained by an operator");
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -1,6 +1,8 @@
 //! The fleet's wiring: the link on the event loop, what it tells in the log, in `/members` and in `/stats`. It hands
 //! values over and knows nothing of requests.
 
+use crate::duties::{FleetDuties, Stored};
+use crate::export::{Export, Figures};
 use crate::pools::PoolId;
 use crate::{Net, Proxy};
 use calloop::generic::Generic;
@@ -32,6 +34,8 @@
     exchanges: BTreeMap<PoolId, Exchange>,
     /// Names by their hashes: of pools and classes, and of nodes, by pool.
     names: FxHashMap<(u64, u64), String>,
+    duties: Option<FleetDuties>,
+    export: Option<Export>,
     look_at: Instant,
     /// Up to which fact, and when, what members say was last merged.
     merged: (u64, Instant),
@@ -89,7 +93,11 @@
         info!(net.log, "a member of the fleet"; "member" => &me.name, "zone" => &me.zone, "address" => %me.address,
             "life" => format!("{:016x}", me.boot), "keys" => settings.key_file.is_some());
         let now = Instant::now();
+        let duties = settings.duties.clone().map(|plan| FleetDuties::start(net, plan, &link)).transpose()?;
+        let export = settings.duties.as_ref().and_then(|d| d.export.clone()).map(|e| Export::new(e, now));
         Ok(Fleet {
+            duties,
+            export,
             link,
             settings,
             exchanges: BTreeMap::new(),
@@ -101,15 +109,58 @@
     }
 
     /// What is due, after each round of the event loop.
-    pub fn turn(&mut self, net: &Net) {
+    pub fn turn(&mut self, net: &mut Net, own: Figures, now: Instant) {
         self.link.turn();
         for event in self.link.take_events() {
             tell(net, &event, self.link.alive());
         }
+        match &mut self.duties {
+            Some(duties) => {
+                duties.turn(net, &mut self.link);
+                if let Some(export) = &mut self.export {
+                    export.turn(net, &mut self.link, duties, own, now);
+                }
+            }
+            // Nobody reads them here.
+            None => drop(self.link.take_letters()),
+        }
+    }
+
+    /// The export's connection has become readable or writable.
+    pub fn export_ready(&mut self, net: &mut Net, own: Figures, event: (u64, bool)) {
+        if let (Some(export), Some(duties)) = (&mut self.export, &self.duties) {
+            export.ready(net, &self.link, duties, own, event);
+        }
+    }
+
+    /// A voter's thread has answered.
+    pub(crate) fn stored(&mut self, done: Stored) {
+        if let Some(duties) = &mut self.duties {
+            duties.stored(done);
+        }
+    }
+
+    /// This process is drained or ends, or takes part again.
+    pub fn drain(&mut self, drained: bool) {
+        if let Some(duties) = &mut self.duties {
+            duties.drain(drained);
+        }
+    }
+
+    /// `GET /duties`; `None`: the file names none.
+    pub fn duties(&self) -> Option<Value> {
+        self.duties.as_ref().map(|d| d.json(&self.link))
+    }
+
+    /// An operator wants a duty at a member, or anywhere else. `None`: the file names no duties.
+    pub fn wish(&mut self, duty: &str, member: Option<&str>) -> Option<Result<(), String>> {
+        self.duties.as_mut().map(|d| d.wish(&self.link, duty, member))
     }
 
     pub fn next_wake(&self) -> Instant {
-        self.link.next_wake().min(self.look_at)
+        let own = self.link.next_wake().min(self.look_at);
+        let own = self.export.as_ref().map_or(own, |e| e.next_wake().min(own));
+        self.duties.as_ref().map_or(own, |d| d.next_wake().min(own))
     }
 
     /// Whether [`Fleet::look`] is due.
@@ -262,6 +313,12 @@
 
     /// Its lines of `/stats`.
     pub fn stats(&self, out: &mut String) {
+        if let Some(duties) = &self.duties {
+            duties.stats(out);
+        }
+        if let Some(export) = &self.export {
+            export.stats(out);
+        }
         let (counts, dropped) = (self.link.counts(), self.link.dropped());
         for (what, n) in [
             ("members_alive", u64::from(self.link.alive())),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -4,7 +4,7 @@
 //! `admission` finds its route, class and pool, `exchange` keeps its life, `pools` ask their modules, and `upstreams`
 //! carry its attempts. `source` and `discovery` say where the nodes are, `lease` what connections and requests hold
 //! of the limits, `plan` what is to be served at all, `reload` what has changed of it, and `shutdown` how it ends.
-//! `fleet`, where the operator's file has it, is the link to the other balancers.
+//! `fleet`, where the operator's file has it, is the link to the other balancers, and `duties` what one does for all.
 //! [`Proxy`] is the state that the event loop hands to each of them.
 #![forbid(unsafe_code)]
 
@@ -12,7 +12,9 @@
 mod admission;
 mod callers;
 mod discovery;
+mod duties;
 mod exchange;
+mod export;
 mod fleet;
 mod http;
 mod lease;
@@ -302,8 +304,10 @@
 
     /// The link's own work, and what the modules and the other members have to tell each other.
     fn tend_fleet(&mut self, now: Instant) {
+        let drained = self.shutdown.ending() || self.admin.draining();
         let Some(fleet) = &mut self.fleet else { return };
-        fleet.turn(&self.net);
+        fleet.drain(drained);
+        fleet.turn(&mut self.net, self.stats.figures(), now);
         if !fleet.looks(now) {
             return;
         }
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -21,6 +21,11 @@
         self.closing
     }
 
+    /// The program was told to end.
+    pub fn ending(&self) -> bool {
+        self.keep_until.is_some()
+    }
+
     /// When the last answer is due: who has told the program to end may not wait for longer.
     pub fn answer_by(&self) -> Option<Instant> {
         self.answer_by
--- a/crates/serve/src/stats.rs
+++ b/crates/serve/src/stats.rs
@@ -82,6 +82,17 @@
         }
     }
 
+    /// The sums of all classes.
+    pub fn figures(&self) -> crate::export::Figures {
+        let sum = |of: fn(&Outcomes) -> u64| self.classes.values().map(of).sum();
+        crate::export::Figures {
+            completed: sum(|o| o.completed),
+            rejected: sum(|o| o.rejected),
+            failed: sum(|o| o.failed),
+            attempts: self.upstream_requests,
+        }
+    }
+
     /// An attempt has been written whole to an upstream.
     pub fn attempt_written(&mut self) {
         self.upstream_requests += 1;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod demo;
+mod duties;
 mod explain;
 mod lab;
 mod logging;
@@ -66,6 +67,7 @@
     /// Put a load on any HTTP/1.1 service, and check that each request gets one answer
     Load(lab::Load),
     Members(members::Members),
+    Duties(duties::Duties),
     /// Hold a drill: several processes, a relay on every link between them, faults by a script, checks from outside
     Drill(lab::Drill),
     /// Print name and version
@@ -114,6 +116,7 @@
         Some(Command::Fleet(fleet)) => print(&fleet.run()?),
         Some(Command::Load(load)) => print(&load.run()?),
         Some(Command::Members(members)) => print(&members.run()?),
+        Some(Command::Duties(duties)) => print(&duties.run()?),
         Some(Command::Drill(drill)) => print(&drill.run()?),
         Some(Command::Version) => print(concat!("garnettally ", env!("CARGO_PKG_VERSION"), "\n")),
     }
