Hold window, drain and client at the first byte written, and end connections without a reset

Now what is about to write its first byte asks may_begin: somebody waits, there is time, the class's window (none for an unsafe class) is open. If not, it ends as never sent. - A client that left, or an answer that another attempt brought, left an unwritten attempt to come up and be written where the settings don't allow cancels (rules.rs, over). Network code drops what is not written whole. - A host that drains: what has not begun there is dropped when the list says so, and goes elsewhere. - An idle connection rests 20 ms before its next request: a second answer that came 8 ms late was served to the next request as its own. What may not be repeated takes no connection past half of its idle time. Discovery: - discovery_input cut lines and decoded each: an indented list ended the watch, for ever. Values are read now (serde's stream), however they are laid out, and the good lists before a bad value count. - Bytes alone put the deadline of silence off; a list or an empty line does now. Callers and the end: - peek-then-close on resting connections, and exit right after the last answer, reset what crossed them. The sending ends first, what comes is thrown away, and the exit waits 250 ms at the most for the peers' ends. - Connections that came up at the end were closed before their first request; those in the listener's queue for which there was no room were reset. The first get 250 ms, the second are accepted as room appears. - Input that was not read for its bound told of itself only once (edge-triggered): requests behind it stayed, the client's end behind it was not seen. - After SIGHUP the times of the settings before went on to hold (drain, connect, idle, resolution).

Changed in a test: tests/balancer.rs asks for reuse of a connection after 40 ms instead of at once, as it rests now. Taken back: a bound on interim answers (they end at 1 MiB as it is).

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -46,7 +46,7 @@
     pub caller_request: Duration,
     /// A caller connection younger than this is not closed to make room: its request is on its way.
     pub caller_fresh: Duration,
-    /// A connection closed for bad input is read on for so long, so that the answer arrives.
+    /// A connection that has had its last answer is read on for so long, so that the answer arrives.
     pub caller_linger: Duration,
     /// And so much of it at a time, so that others have their turn.
     pub caller_discard: usize,
@@ -62,11 +62,14 @@
     pub upstream_stale: Duration,
     /// What that tells of its upstream is believed for so long.
     pub upstream_idle_memory: Duration,
+    /// An upstream connection rests so long before its next request: a second answer, which would pass for that
+    /// one's, comes some milliseconds after the first.
+    pub upstream_rest: Duration,
     /// How long opening a connection to discovery may take.
     pub discovery_connect: Duration,
     /// How long discovery may take to answer a watch.
     pub discovery_answer: Duration,
-    /// Silence after which a watch is given up; an empty line comes every 2 s.
+    /// After so long without a whole list or an empty line, one of which comes every 2 s, a watch is given up.
     pub discovery_silence: Duration,
     /// How often ages are looked at.
     pub sweep: Duration,
@@ -74,6 +77,8 @@
     pub drain_keep: Duration,
     /// And new ones are accepted for so long.
     pub drain_accept: Duration,
+    /// At the end a new connection is given so long for its first request, and the callers for their own end.
+    pub drain_linger: Duration,
     /// What is taken after SIGTERM is answered within so long of it: SIGKILL may follow.
     pub drain_answer: Duration,
     /// How often a file of nodes is looked at; it is read once it has been the same at two looks.
@@ -104,6 +109,8 @@
     drain_keep: Duration,
     upstream_connect: Duration,
     upstream_idle: Duration,
+    /// For how long after it was told what binds may still be broken.
+    drain_grace: Duration,
     /// An admin address is served.
     admin: bool,
 }
@@ -127,6 +134,7 @@
             drain_keep: drain_keep(config.site.settings.instances, drain_answer),
             upstream_connect: config.dial_timeout.map_or(Duration::from_millis(250), time),
             upstream_idle: time(config.site.settings.idle_close) * 2 / 3,
+            drain_grace: config.drain_grace.map_or(Duration::ZERO, time),
             admin: config.admin.is_some(),
         })
     }
@@ -146,10 +154,23 @@
             drain_keep: Duration::from_secs(2),
             upstream_connect: Duration::from_millis(250),
             upstream_idle: Duration::from_secs(40),
+            drain_grace: Duration::from_millis(500),
             admin: operator.admin.is_some(),
         })
     }
 
+    /// Takes over the times that follow from the settings. Sizes and counts stay: sockets and buffers have them
+    /// already.
+    pub fn take_times(&mut self, of: &Limits) {
+        self.resolution = of.resolution;
+        self.upstream_connect = of.upstream_connect;
+        self.upstream_idle = of.upstream_idle;
+        self.discovery_silence = of.discovery_silence;
+        self.drain_keep = of.drain_keep;
+        self.drain_accept = of.drain_accept;
+        self.drain_answer = of.drain_answer;
+    }
+
     fn from(basis: Basis) -> Limits {
         let admin_connections = if basis.admin { 8 } else { 0 };
         // The admin listener and its connections come off what clients and upstreams may hold.
@@ -183,12 +204,14 @@
             upstream_idle_least: Duration::from_millis(50),
             upstream_stale: Duration::from_millis(20),
             upstream_idle_memory: Duration::from_secs(30),
-            discovery_connect: Duration::from_secs(1),
+            upstream_rest: Duration::from_millis(20),
+            discovery_connect: DISCOVERY_CONNECT,
             discovery_answer: Duration::from_millis(3500),
-            discovery_silence: Duration::from_millis(4500),
+            discovery_silence: discovery_silence(basis.drain_grace),
             sweep: Duration::from_millis(250),
             drain_keep: basis.drain_keep,
             drain_accept: basis.drain_keep + Duration::from_millis(200),
+            drain_linger: Duration::from_millis(250),
             drain_answer: basis.drain_answer,
             nodes_poll: Duration::from_millis(250),
             reload_rest: Duration::from_millis(50),
@@ -201,6 +224,19 @@
     }
 }
 
+const DISCOVERY_CONNECT: Duration = Duration::from_secs(1);
+
+/// When silence ends a watch. What a silent watch misses counts as told 6 s after it fell silent, and binds once the
+/// grace is over. By then there has to be time for a new call, for one whose connection never comes up before it,
+/// the module's pauses before both (0.5 s each at the most), and for 1 s until the answer.
+fn discovery_silence(grace: Duration) -> Duration {
+    const TOLD: Duration = Duration::from_secs(6);
+    const PAUSES_AND_ANSWER: Duration = Duration::from_secs(2);
+    let left = TOLD + grace - PAUSES_AND_ANSWER - DISCOVERY_CONNECT;
+    // Never so soon that an empty line which is a little late passes for silence.
+    left.clamp(Duration::from_millis(2500), Duration::from_millis(4500))
+}
+
 /// How long connections are kept between requests after SIGTERM. Clients of several balancers find another one, and
 /// the sooner they do, the more of their requests are served. To those of the only one nothing is left but the
 /// connections that they have: it keeps them for as long as an answer still comes in time.
--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -2,6 +2,7 @@
 //! few values that the program uses. Whatever is wrong with them is said here, with the name of the key.
 
 use garnettally_model::*;
+use serde::de::IgnoredAny;
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::net::SocketAddr;
@@ -63,6 +64,7 @@
 #[serde(rename_all = "PascalCase", default)]
 pub(crate) struct Contract {
     pub(crate) ask_within_us: Option<i64>,
+    pub(crate) drain_grace_us: Option<i64>,
     pub(crate) cold_share: Option<f64>,
     pub(crate) ramp_time_us: Option<i64>,
     pub(crate) tip_after_us: Option<i64>,
@@ -242,6 +244,33 @@
     host_list(from_json(json)?)
 }
 
+/// Takes the lists that are whole off the front of `text`, however they are laid out: on one line or on many, several
+/// on one. What is not whole yet stays. The lists before a value that makes no sense are good; the error is about it.
+pub fn take_host_lists(text: &mut Vec<u8>) -> (Vec<HostList>, Result<(), String>) {
+    let (mut lists, mut used) = (Vec::new(), 0);
+    let mut values = serde_json::Deserializer::from_slice(text).into_iter::<IgnoredAny>();
+    let result = loop {
+        match values.next() {
+            Some(Ok(_)) => {
+                let end = values.byte_offset();
+                match decode_hosts(text[used..end].trim_ascii()) {
+                    Ok(list) => lists.push(list),
+                    Err(e) => break Err(e),
+                }
+                used = end;
+            }
+            Some(Err(e)) if e.is_eof() => break Ok(()),
+            Some(Err(e)) => break Err(e.to_string()),
+            None => {
+                used = text.len();
+                break Ok(());
+            }
+        }
+    };
+    text.drain(..used);
+    (lists, result)
+}
+
 fn host_list(raw: RawList<'_>) -> Result<HostList, String> {
     let mut hosts = Vec::with_capacity(raw.hosts.len());
     for (i, h) in raw.hosts.into_iter().enumerate() {
@@ -296,6 +325,8 @@
     pub site: Site,
     /// How long a connection to an upstream may take.
     pub dial_timeout: Option<Micros>,
+    /// How long after being told that an upstream drains something new may still go there.
+    pub drain_grace: Option<Micros>,
     /// Every attempt and every request gets a line in the log.
     pub debug: bool,
 }
@@ -350,7 +381,12 @@
         let in_file = raw.discovery.as_deref().filter(|text| !text.is_empty());
         let in_file = in_file.map(str::parse).transpose();
         let seed = u64::from_str_radix(&raw.seed, 16);
-        let site = raw.settings.site().map_err(|e| format!("{path}: {e}"))?;
+        let mut site = raw.settings.site().map_err(|e| format!("{path}: {e}"))?;
+        if !site.settings.must_ask {
+            // On sockets a list is pushed by a watch, too, and what its agent has counts as told at once: the watch
+            // is asked for at the start and, when it ends, again without a pause.
+            (site.settings.must_ask, site.settings.ask_within) = (true, Micros(0));
+        }
         if raw.settings.grades.is_empty() {
             return Err(format!("{path}: settings.Grades: must name at least one class"));
         }
@@ -388,6 +424,7 @@
             memory_mb,
             known: host_list(known).map_err(|e| format!("{path}: known.{e}"))?,
             dial_timeout: raw.settings.limits.dial_timeout_us.map(Micros),
+            drain_grace: raw.settings.contract.drain_grace_us.map(Micros),
             site,
         })
     }
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -102,6 +102,17 @@
     pub labels: Option<Labels>,
     /// The class's name, for the figures: open requests keep it across a reload.
     pub class_name: Rc<str>,
+    /// For how long after an attempt that may have run another may be sent; `None`: for ever.
+    pub repeat_within: Option<Duration>,
+}
+
+/// The same, as the class's effect has it.
+fn repeat_within(effect: &Effect) -> Option<Duration> {
+    match effect {
+        Effect::Safe => None,
+        Effect::Keyed { window, .. } => Some(Duration::from_micros(window.0.max(0) as u64)),
+        Effect::Unsafe => Some(Duration::ZERO),
+    }
 }
 
 /// Names for the log.
@@ -152,6 +163,7 @@
             mirror: None,
             labels: None,
             class_name: call.class.into(),
+            repeat_within: repeat_within(&effect),
         })
     }
 
@@ -259,6 +271,7 @@
             id,
             pin,
             class_name: class.as_str().into(),
+            repeat_within: repeat_within(effect),
             labels,
             route: Some(in_force.clone()),
         })
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -12,6 +12,7 @@
 use garnettally_decisions::facade::RequestId;
 use garnettally_routing::budget::{exceeds, HolderId, Refusal, Share};
 use rustc_hash::FxHashMap;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
@@ -75,7 +76,7 @@
     listeners: BTreeMap<ListenerId, Listener>,
     next: u64,
     conns: FxHashMap<ConnId, Conn>,
-    /// Those that had more to throw away than one turn takes.
+    /// Those that had more than one turn takes.
     unread: Vec<ConnId>,
 }
 
@@ -185,7 +186,7 @@
         exceeds(capacity, &held.into_values().collect::<Vec<_>>(), at)
     }
 
-    /// Whether there is more to throw away.
+    /// Whether there is more to read.
     pub fn has_unread(&self) -> bool {
         !self.unread.is_empty()
     }
@@ -208,13 +209,23 @@
         self.listeners.get(&conn.listener).is_none_or(|l| l.socket.is_none())
     }
 
-    /// Whether an answer is still to be written, or a request begun is still to come in.
-    pub fn owes(&self) -> bool {
-        self.conns.values().any(|c| match c.state {
-            State::Lingering => c.written < c.output.len(),
-            _ => !c.idle(),
+    /// Whether an answer is still to be written, or a request begun is still to come in. A new connection is owed
+    /// `linger` for its first request, and one that has had its last answer for its peer's end: a close that crosses
+    /// what the peer sends is a reset, which may cost it the answer.
+    pub fn owes(&self, now: Instant, linger: Duration) -> bool {
+        self.conns.values().any(|c| {
+            let young = now.saturating_duration_since(c.since) < linger;
+            match c.state {
+                State::Lingering => young || c.written < c.output.len(),
+                _ => !c.idle() || (young && !c.spoke),
+            }
         })
     }
+
+    /// Whether accepting rests anywhere.
+    pub fn rests(&self) -> bool {
+        self.listeners.values().any(|l| l.resume.is_some())
+    }
 }
 
 impl Conn {
@@ -254,7 +265,7 @@
                 Accepted::Nothing => return,
                 Accepted::Failed(e) => {
                     self.upstreams.close_oldest_idle(&self.net, |_| true);
-                    self.close_idle_caller();
+                    self.close_idle_caller_for(|_| true);
                     return self.rest_accepting(at, &e.to_string());
                 }
             };
@@ -327,11 +338,7 @@
         if self.shutdown.closing() || !self.callers.listeners.values().any(closed) {
             return;
         }
-        let idle = self.callers.conns.iter().filter(|(_, c)| c.idle() && self.callers.left(c));
-        let idle: Vec<ConnId> = idle.map(|(&id, _)| id).collect();
-        for id in idle {
-            self.close_if_idle(id);
-        }
+        self.end_idle_callers(Instant::now(), false);
         let used: BTreeSet<ListenerId> = self.callers.conns.values().map(|c| c.listener).collect();
         let done: Vec<ListenerId> = self
             .callers
@@ -373,7 +380,7 @@
         if was_idle && conn.spoke && !conn.input.is_empty() {
             conn.since = Instant::now();
         }
-        let large = conn.input.len() > read_bytes;
+        let (large, more) = (conn.input.len() > read_bytes, conn.input.len() > most);
         match (reading, conn.state) {
             (Reading::Open, State::Reading) => {
                 self.take_requests(id);
@@ -383,12 +390,24 @@
             }
             (Reading::Open, _) => {}
             // What came before the end may be a whole request, but nobody waits for its answer any more.
-            (Reading::Ended | Reading::Broken, _) => self.caller_left(id),
+            (Reading::Ended | Reading::Broken, _) => return self.caller_left(id),
+        }
+        if !more {
+            return;
+        }
+        // What still lies in the socket has told of itself, and does not do so again: neither do the bytes, if the
+        // requests before them have been answered, nor the end behind them, if one waits.
+        match self.callers.conns.get(&id) {
+            Some(c) if matches!(c.state, State::Waiting(_)) && hung_up(&c.socket.stream) => {
+                self.caller_left(id)
+            }
+            Some(c) if c.state == State::Reading && c.input.len() <= most => self.callers.unread.push(id),
+            _ => {}
         }
     }
 
-    /// Goes on throwing away what could not be in one turn.
-    pub fn resume_discarding(&mut self) {
+    /// Goes on with what could not be read or thrown away in one turn.
+    pub fn resume_reading(&mut self) {
         for id in std::mem::take(&mut self.callers.unread) {
             self.caller_ready(id);
         }
@@ -532,48 +551,78 @@
             self.reject_caller(id, Bad(408));
         }
         for id in old {
-            self.caller_ready(id); // its next request may have come just now
-            if self.callers.conns.get(&id).is_some_and(|c| c.idle() || c.state == State::Lingering) {
-                self.callers.drop_conn(&self.net, id);
+            self.caller_ready(id); // its next request, or its end, may have come just now
+            match self.callers.conns.get(&id) {
+                Some(c) if c.state == State::Lingering => self.callers.drop_conn(&self.net, id),
+                Some(c) if c.idle() => self.end_if_idle(id),
+                _ => {}
             }
         }
     }
 
-    /// Closes the connection that has been between requests for longest. One whose next request lies in the
-    /// socket is not between requests: that request is taken, and closing would lose it.
-    pub fn close_idle_caller(&mut self) -> bool {
-        self.close_idle_caller_for(|_| true)
+    /// Ends the connections between requests, `all` or those whose listener was closed; those that came up just now get time for their first one.
+    pub fn end_idle_callers(&mut self, now: Instant, all: bool) {
+        let linger = self.net.limits.drain_linger;
+        let callers = &self.callers;
+        let due = |c: &Conn| c.idle() && (c.spoke || now.saturating_duration_since(c.since) >= linger);
+        let idle = callers.conns.iter().filter(|(_, c)| due(c) && (all || callers.left(c)));
+        for id in idle.map(|(&id, _)| id).collect::<Vec<_>>() {
+            self.end_if_idle(id);
+        }
     }
 
-    /// The same for those whose place helps a holder that was refused one.
-    pub fn close_idle_caller_helping(&mut self, holder: HolderId, why: Refusal) -> bool {
-        self.close_idle_caller_for(|c| c.lease.helps(holder, why))
+    /// Ends a connection between requests, unless its next one lies in the socket: that one is taken up. The sending
+    /// ends, and what still comes is thrown away until the peer ends, too: a close that crosses its bytes would be
+    /// a reset. A request among them was never taken, and its client tries again elsewhere.
+    fn end_if_idle(&mut self, id: ConnId) {
+        let Some(conn) = self.callers.conns.get_mut(&id) else { return };
+        if conn.socket.stream.peek(&mut [0]).is_ok_and(|n| n > 0) {
+            return self.caller_ready(id);
+        }
+        (conn.close, conn.state, conn.since) = (true, State::Lingering, Instant::now());
+        if conn.socket.stream.shutdown(Shutdown::Write).is_err() {
+            return self.callers.drop_conn(&self.net, id);
+        }
+        self.caller_ready(id);
     }
 
+    /// Closes the connection that is missed least: one that has had its last answer, else the one that has been
+    /// between requests for longest. One whose next request lies in the socket is not between requests: that request
+    /// is taken, and closing would lose it.
     fn close_idle_caller_for(&mut self, fits: impl Fn(&Conn) -> bool) -> bool {
-        // At the end all have to go; to make room, only those that are not about to ask.
-        let fresh =
-            Instant::now().checked_sub(self.net.limits.caller_fresh).filter(|_| !self.shutdown.closing());
+        let done = |c: &Conn| c.state == State::Lingering && c.written == c.output.len();
+        let done = self.callers.conns.iter().filter(|(_, c)| done(c) && fits(c)).min_by_key(|(_, c)| c.since);
+        if let Some(id) = done.map(|(&id, _)| id) {
+            self.callers.drop_conn(&self.net, id);
+            return true;
+        }
+        // Only those that are not about to ask.
+        let fresh = Instant::now().checked_sub(self.net.limits.caller_fresh);
         while let Some(id) = self.callers.oldest_idle(fresh, &fits) {
-            if self.close_if_idle(id) {
+            self.end_if_idle(id);
+            if self.callers.conns.get(&id).is_some_and(|c| c.state == State::Lingering) {
+                self.callers.drop_conn(&self.net, id); // its place is wanted now
+            }
+            if !self.callers.conns.contains_key(&id) {
                 return true;
             }
         }
         false
     }
 
-    /// Closes a connection between requests, unless its next one lies in the socket: that one is taken up.
-    fn close_if_idle(&mut self, id: ConnId) -> bool {
-        let Some(conn) = self.callers.conns.get(&id) else { return false };
-        if conn.socket.stream.peek(&mut [0]).is_ok_and(|n| n > 0) {
-            self.caller_ready(id);
-            return false;
-        }
-        self.callers.drop_conn(&self.net, id);
-        true
+    /// Closes one whose place helps a holder that was refused one.
+    pub fn close_idle_caller_helping(&mut self, holder: HolderId, why: Refusal) -> bool {
+        self.close_idle_caller_for(|c| c.lease.helps(holder, why))
     }
 }
 
+/// Whether the peer has ended its sending, also where unread bytes lie before that end.
+fn hung_up(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
+    let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    matches!(poll(&mut polled, Some(&Timespec::default())), Ok(1..)) && polled[0].revents().intersects(gone)
+}
+
 /// What one accept brought.
 pub enum Accepted {
     Stream(TcpStream),
--- a/crates/serve/src/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::pools::PoolId;
 use crate::source::Source;
 use crate::{Proxy, Reading, Watched};
-use garnettally_config::platform::decode_hosts;
+use garnettally_config::platform::take_host_lists;
 use garnettally_decisions::facade::Report;
 use slog::{info, warn};
 use std::net::SocketAddr;
@@ -17,8 +17,9 @@
     written: usize,
     input: Vec<u8>,
     chunks: Option<Chunks>,
-    /// The line that has not ended yet.
-    line: Vec<u8>,
+    /// What has come of a list that is not whole yet.
+    text: Vec<u8>,
+    /// It is given up then: a new list or an empty line puts that off, bytes alone don't.
     deadline: Instant,
 }
 
@@ -90,7 +91,7 @@
                 written: 0,
                 input: Vec::new(),
                 chunks: None,
-                line: Vec::new(),
+                text: Vec::new(),
                 deadline,
             });
         }
@@ -169,20 +170,22 @@
             watch.chunks = Some(Chunks::default());
         }
         let Some(chunks) = watch.chunks.as_mut() else { return Ok(()) };
-        let used = chunks.read(&watch.input, limits.line_bytes, &limits, &mut watch.line);
+        let before = watch.text.len();
+        let used = chunks.read(&watch.input, limits.line_bytes, &limits, &mut watch.text);
         let used = used.map_err(|_| "its chunks make no sense".to_string())?;
         watch.input.drain(..used);
-        if used > 0 {
-            watch.deadline = Instant::now() + limits.discovery_silence;
-        }
         let done = chunks.done;
-        let mut lists = Vec::new();
-        while let Some(end) = watch.line.iter().position(|&b| b == b'\n') {
-            let line: Vec<u8> = watch.line.drain(..=end).collect();
-            if !line.trim_ascii().is_empty() {
-                let list = decode_hosts(line.trim_ascii());
-                lists.push(list.map_err(|e| format!("a line makes no sense: {e}"))?);
-            }
+        let (mut lists, mut result) = (Vec::new(), Ok(()));
+        // An empty line between lists says that nothing has changed.
+        let mut alive = watch.text.contains(&b'\n') && watch.text.trim_ascii().is_empty();
+        // A list ends with a brace: what has brought none of them is not whole yet, unless it is no list at all.
+        let opens = watch.text.trim_ascii_start().first().is_none_or(|&b| b == b'{');
+        if watch.text[before..].contains(&b'}') || !opens || alive {
+            (lists, result) = take_host_lists(&mut watch.text);
+            alive |= !lists.is_empty();
+        }
+        if alive {
+            watch.deadline = Instant::now() + limits.discovery_silence;
         }
         if let Some(list) = lists.last() {
             discovery.version = list.seq;
@@ -193,6 +196,7 @@
                 p.queue(Report::Hosts(list), Instant::now());
             }
         }
+        result.map_err(|e| format!("a list makes no sense: {e}"))?;
         if done {
             return Err("discovery ended it".into());
         }
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -6,7 +6,7 @@
 use crate::lease::Lease;
 use crate::pools::PoolId;
 use crate::stats::Outcome;
-use crate::upstreams::{Ended, Target};
+use crate::upstreams::{Attempt, Ended, Target};
 use crate::{ConnId, Proxy};
 use garnettally_config::file::format::LogRequests;
 use garnettally_decisions::facade::{Ask, Code, Decision, Micros, Report, RequestId};
@@ -39,8 +39,12 @@
     out: u32,
     /// It has had its answer, or its client is gone.
     over: bool,
-    /// An attempt has, or may have, run, or is out and may yet.
+    /// An attempt has, or may have, run.
     may_have_run: bool,
+    /// Once one may have run, for how long after it was sent another may be (unsafe classes: not at all), and when
+    /// that ends. `None`: for ever.
+    repeat_within: Option<Duration>,
+    repeat_by: Option<Instant>,
     /// Where it may go if this pool refuses it and nothing can have run.
     others: Vec<PoolId>,
     pin: Option<(u64, Micros)>,
@@ -192,6 +196,8 @@
             out: 0,
             over: false,
             may_have_run: false,
+            repeat_within: a.repeat_within,
+            repeat_by: None,
             others: a.others,
             pin: a.pin,
             pin_number: 0,
@@ -236,6 +242,7 @@
             mirror: None,
             labels: None,
             class_name: a.class_name.clone(),
+            repeat_within: a.repeat_within,
         };
         self.begin(copy, None, None, request.clone(), lease, now);
     }
@@ -244,10 +251,39 @@
     pub fn client_gone(&mut self, request: RequestId) {
         if self.exchanges.conclude(request).is_some() {
             self.log_request(request, "gone", None, None);
+            self.drop_unwritten(request);
             self.queue_for(request, Report::Gone(request));
         }
     }
 
+    /// A request is over: what waits for its connection, or is not written whole, goes out for nobody. The module
+    /// calls it off only where the settings allow that, and that is about what is out.
+    fn drop_unwritten(&mut self, request: RequestId) {
+        let sends = self.exchanges.open.get(&request).filter(|x| x.out > 0).map_or(0, |x| x.sends);
+        for attempt in 0..sends {
+            if let Some(ended) = self.upstreams.drop_unwritten(&self.net, (request, attempt)) {
+                self.attempt_ended(ended);
+            }
+        }
+    }
+
+    /// Whether the first byte of an attempt may be written now: somebody waits for its answer, there is time, and
+    /// the time in which its class lets it be repeated has not ended.
+    pub fn may_begin(&self, attempt: Attempt) -> bool {
+        let now = Instant::now();
+        let open = self.exchanges.open.get(&attempt.0).filter(|x| !x.over);
+        open.is_some_and(|x| x.ask.expires > self.net.clock.at(now) && x.repeat_by.is_none_or(|by| now < by))
+    }
+
+    /// An upstream takes nothing new any more: what has not begun there goes elsewhere.
+    pub fn leave_upstream(&mut self, target: Target) {
+        for attempt in self.upstreams.unbegun(target) {
+            if let Some(ended) = self.upstreams.drop_unwritten(&self.net, attempt) {
+                self.attempt_ended(ended);
+            }
+        }
+    }
+
     fn queue_for(&mut self, request: RequestId, report: Report) {
         let pool = self.exchanges.open.get(&request).map(|x| x.pool);
         if let Some(pool) = pool.and_then(|id| self.pools.get_mut(id)) {
@@ -263,6 +299,11 @@
         x.out -= 1;
         let never_ran = matches!(ended.code, Code::Full | Code::ConnectFailed | Code::Moot);
         x.may_have_run |= !never_ran;
+        if let Some(within) = x.repeat_within.filter(|_| !never_ran) {
+            let by = Instant::now() + within;
+            let by = by.checked_sub(ended.latency).unwrap_or(by);
+            x.repeat_by = Some(x.repeat_by.map_or(by, |before| before.min(by)));
+        }
         let over = x.over;
         if let Some((key, _)) = x.pin.filter(|_| never_ran) {
             self.pins.never_ran(key, x.pin_number);
@@ -283,6 +324,9 @@
         let (code, latency) = (ended.code, ended.latency);
         let report = Report::Ended { request, attempt, code, latency, held, answered };
         self.queue_for(request, report);
+        if passed.is_some() {
+            self.drop_unwritten(request);
+        }
         if let (Some(caller), Some(answer)) = (passed, ended.answer) {
             if let Some(x) = self.exchanges.open.get(&request) {
                 self.stats.ended(&x.class_name, Outcome::Completed);
@@ -380,7 +424,7 @@
         if x.over {
             return self.attempt_ended_unpinned(unsent(Code::Moot));
         }
-        let (asked, pin) = (x.request.clone(), x.pin);
+        let (asked, pin, once) = (x.request.clone(), x.pin, x.repeat_within == Some(Duration::ZERO));
         if let Some((key, window)) = pin {
             let now = self.net.clock.at(Instant::now());
             let several = x.route.as_ref().is_some_and(|r| r.route.pools.several());
@@ -398,7 +442,7 @@
                 }
             }
         }
-        self.send_attempt(attempt, to, &asked, timeout);
+        self.send_attempt(attempt, to, &asked, timeout, once);
     }
 
     /// An attempt that the pins know nothing of has ended unsent.
@@ -463,6 +507,7 @@
             };
             self.log_request(request, outcome, Some(status), None);
         }
+        self.drop_unwritten(request);
         self.forget(request);
         if let Some(caller) = caller {
             self.answer_caller(caller, answer);
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -296,7 +296,7 @@
             self.pins.expire(self.net.clock.at(now));
         }
         self.resume_accepting(now);
-        self.resume_discarding();
+        self.resume_reading();
         self.continue_shutdown(now);
         self.consult(now);
         self.tend_fleet(now);
@@ -332,7 +332,7 @@
             self.pools.iter().filter_map(|p| p.source.next_wake()).min(),
             self.reload.next_wake(),
             self.callers.resume_at(),
-            self.shutdown.next_wake(),
+            self.shutdown.next_wake(self.net.limits.accept_rest),
             self.admin.next_wake(&self.net),
             // Once passed, closing idle connections goes on at every turn and sweep: no wake of its own, or the
             // loop would spin for the whole drain.
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -38,6 +38,8 @@
     pub fitness: Fitness,
     /// Requests and attempts that it still has.
     pub open: usize,
+    /// Only being listed as draining binds.
+    pub drain_binds_alone: bool,
     /// It gets no new request, and goes when it has none left.
     pub leaving: bool,
     /// A node of it was ready once.
@@ -144,6 +146,7 @@
         let mut pool = Pool {
             id,
             name: plan.name,
+            drain_binds_alone: plan.site.settings.drain_binds_alone,
             decisions: Decisions::new(plan.site, seed, at),
             source,
             basis: plan.basis,
@@ -274,6 +277,8 @@
                 self.upstreams.close_idle(&self.net, Target { pool: id, server });
             }
         }
+        // Where only draining binds, being called gone is a hint that the module may doubt.
+        let (hint, mut left) = (pool.drain_binds_alone, Vec::new());
         for (server, dial, state) in found {
             let target = Target { pool: id, server };
             pool.ready |= state == Listed::Ready;
@@ -283,8 +288,12 @@
             }
             if state != Listed::Ready {
                 self.upstreams.close_idle(&self.net, target);
+                left.extend((state == Listed::Draining || !hint).then_some(target));
             }
         }
+        for target in left {
+            self.leave_upstream(target);
+        }
         decisions
     }
 
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -9,7 +9,7 @@
 use crate::callers;
 use crate::plan::{PoolPlan, Reload};
 use crate::pools::PoolId;
-use crate::Proxy;
+use crate::{Limits, Proxy};
 use garnettally_config::file::{self, Operator};
 use garnettally_config::platform::Config;
 use garnettally_routing::budget::HolderId;
@@ -85,6 +85,9 @@
             }
         };
         self.stats.reloaded(true);
+        if !self.shutdown.ending() {
+            self.net.limits.take_times(&Limits::new(&config));
+        }
         self.retune_platform(&config);
         info!(self.net.log, "configuration read again; its settings are in force, limits wait for a restart");
         // `GW_DISCOVERY` was given for the file of that time: a change in the file is the later word.
--- a/crates/serve/src/shutdown.rs
+++ b/crates/serve/src/shutdown.rs
@@ -3,7 +3,7 @@
 
 use crate::Proxy;
 use slog::info;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// How far the end has come.
 #[derive(Default)]
@@ -31,12 +31,12 @@
         self.answer_by
     }
 
-    /// When its next step is due.
-    pub fn next_wake(&self) -> Option<Instant> {
+    /// When its next step is due; at the end, whether the last peers have gone is looked at every `rest`.
+    pub fn next_wake(&self, rest: Duration) -> Option<Instant> {
         match (self.closing, self.deaf) {
             (false, _) => self.keep_until,
             (true, false) => self.accept_until,
-            _ => None,
+            (true, true) => Some(Instant::now() + rest),
         }
     }
 }
@@ -59,7 +59,7 @@
             self.shutdown.closing = true;
         }
         if self.shutdown.closing || self.admin.close_idle(&self.net, now) {
-            while self.close_idle_caller() {}
+            self.end_idle_callers(now, true);
         }
         if self.shutdown.closing
             && !self.shutdown.deaf
@@ -67,6 +67,11 @@
         {
             // What the kernel has accepted meanwhile is taken already.
             self.accept_all();
+            if self.callers.rests() && self.shutdown.answer_by.is_some_and(|by| now < by) {
+                // There is no room for some of it: closing the listener would reset them.
+                self.shutdown.accept_until = Some(now + self.net.limits.accept_rest);
+                return;
+            }
             self.callers.stop_listening(&self.net);
             self.shutdown.deaf = true;
         }
@@ -74,6 +79,7 @@
 
     /// Nothing is owed and nobody is listened to.
     pub fn finished(&self) -> bool {
-        self.shutdown.deaf && !self.exchanges.owes() && !self.callers.owes()
+        let linger = self.net.limits.drain_linger;
+        self.shutdown.deaf && !self.exchanges.owes() && !self.callers.owes(Instant::now(), linger)
     }
 }
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -189,21 +189,46 @@
         Some(conn)
     }
 
-    /// The idle connection used last. One that its upstream has closed would answer with a reset: it is
-    /// dropped, even if the event loop has not heard of it yet.
-    fn take_idle(&mut self, net: &Net, upstream: Target) -> Option<ConnId> {
+    /// The idle connection used last, of those that have rested. One that its upstream has closed would answer with a
+    /// reset: it is dropped, even if the event loop has not heard of it yet. What may not be repeated takes none that
+    /// is near its end (`once`), as the close may be on its way.
+    fn take_idle(&mut self, net: &Net, upstream: Target, once: bool) -> Option<ConnId> {
         let now = Instant::now();
         let keep = self.keep(net, upstream, now);
-        while let Some(id) = self.idle.get_mut(&upstream)?.pop() {
+        let rested = now.checked_sub(net.limits.upstream_rest)?;
+        loop {
+            let ids = self.idle.get_mut(&upstream)?;
+            let conns = &self.conns;
+            let at = ids.iter().rposition(|id| conns.get(id).is_none_or(|c| c.idle_since <= rested))?;
+            let id = ids[at];
+            let idle = conns.get(&id).map_or(keep, |c| now.saturating_duration_since(c.idle_since));
+            if once && idle < keep && idle * 2 >= keep {
+                return None; // the others have been idle for longer
+            }
             let quiet =
                 |c: &Conn| c.socket.stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
-            let young = |c: &&Conn| now.saturating_duration_since(c.idle_since) < keep;
-            if self.conns.get(&id).filter(young).is_some_and(quiet) {
+            if idle < keep && conns.get(&id).is_some_and(quiet) {
+                ids.remove(at);
                 return Some(id);
             }
-            self.remove(net, id);
+            if self.remove(net, id).is_none() {
+                self.idle.get_mut(&upstream)?.remove(at);
+            }
         }
-        None
+    }
+
+    /// Gives up an attempt that is not written whole: it can't run any more.
+    pub fn drop_unwritten(&mut self, net: &Net, attempt: Attempt) -> Option<Ended> {
+        let id = *self.flights.get(&attempt)?;
+        self.conns.get(&id).filter(|c| c.unwritten())?;
+        let conn = self.remove(net, id)?;
+        Some(conn.flight.as_ref()?.end(Code::Moot).at(conn.upstream))
+    }
+
+    /// The attempts at an upstream of which nothing is written yet.
+    pub fn unbegun(&self, upstream: Target) -> Vec<Attempt> {
+        let unbegun = self.conns.values().filter(|c| c.upstream == upstream && c.written == 0);
+        unbegun.filter_map(|c| c.flight.as_ref()).map(|f| f.attempt).collect()
     }
 
     /// Gives an attempt up: its connection closes.
@@ -228,26 +253,38 @@
 }
 
 impl Conn {
-    /// What its breaking means: a request that was not written whole can't have run.
+    /// Its request is not written whole, so it can't have run.
+    fn unwritten(&self) -> bool {
+        !self.open || self.written < self.output.len()
+    }
+
+    /// What its breaking means.
     fn broken(&self) -> Code {
-        if self.open && self.written == self.output.len() {
-            Code::Reset
-        } else {
+        if self.unwritten() {
             Code::ConnectFailed
+        } else {
+            Code::Reset
         }
     }
 }
 
 impl Proxy {
-    /// Sends an attempt on an idle connection, or on a new one.
-    pub fn send_attempt(&mut self, attempt: Attempt, to: Target, request: &Request, timeout: Duration) {
+    /// Sends an attempt on an idle connection, or on a new one; `once`: it may not be repeated.
+    pub fn send_attempt(
+        &mut self,
+        attempt: Attempt,
+        to: Target,
+        request: &Request,
+        timeout: Duration,
+        once: bool,
+    ) {
         let sent = Instant::now();
         let latency = Duration::ZERO;
         let failed = Ended { attempt, target: Some(to), code: Code::ConnectFailed, latency, answer: None };
         let Some(&address) = self.upstreams.addresses.get(&to) else {
             return self.attempt_ended(failed);
         };
-        let id = match self.upstreams.take_idle(&self.net, to) {
+        let id = match self.upstreams.take_idle(&self.net, to, once) {
             Some(id) => id,
             None => {
                 let Some(terms) = self.upstreams.terms.get(&to.pool) else {
@@ -314,6 +351,15 @@
             }
             conn.open = true;
         }
+        // It was decided on when the connection was asked for, and that may be long ago.
+        let begins = conn.flight.as_ref().filter(|_| conn.written == 0).map(|f| f.attempt);
+        if let Some(attempt) = begins.filter(|a| !self.may_begin(*a)) {
+            if let Some(ended) = self.upstreams.drop_unwritten(&self.net, attempt) {
+                self.attempt_ended(ended);
+            }
+            return;
+        }
+        let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
         let before = conn.written;
         let wrote = crate::write(&conn.socket.stream, &conn.output, &mut conn.written);
         if conn.flight.is_some() && before < conn.output.len() && conn.written == conn.output.len() {
@@ -404,8 +450,7 @@
                 continue;
             }
             let Some(conn) = self.upstreams.remove(&self.net, id) else { continue };
-            let unsent = !conn.open || conn.written < conn.output.len();
-            let code = if unsent { Code::ConnectFailed } else { Code::Timeout };
+            let code = if conn.unwritten() { Code::ConnectFailed } else { Code::Timeout };
             if let Some(flight) = &conn.flight {
                 self.attempt_ended(flight.end(code).at(conn.upstream));
             }
--- a/tests/balancer.rs
+++ b/tests/balancer.rs
@@ -27,7 +27,8 @@
     assert!(request.contains(&format!("Req-Id: {}\r\n", got.header("req-id").unwrap())));
     let left: f64 = got.header("req-deadline").unwrap().parse().unwrap();
     assert!(left > 0.0 && left <= 2.5, "{left}");
-    // Both connections serve the next request, too.
+    // Both connections serve the next request, too, once the upstream's has rested.
+    std::thread::sleep(Duration::from_millis(40));
     let answer = client.ask(&look("1.2"));
     assert_eq!((answer.status(), up.opened.load(Ordering::SeqCst)), (200, 1));
     assert_eq!(up.got.lock().unwrap()[1].start, "GET /look/part?key=91f03b7c55d20a64&x=1 HTTP/1.1");
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -158,6 +158,11 @@
         write!(self.0, "{:x}\r\n{text}\r\n", text.len()).unwrap();
     }
 
+    /// The same, where the balancer may have ended it.
+    pub fn chunk_if_open(&mut self, text: &str) {
+        let _ = write!(self.0, "{:x}\r\n{text}\r\n", text.len());
+    }
+
     /// Whether the balancer has ended it.
     pub fn ended(&mut self) -> bool {
         self.0.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
