--- a/crates/serve/src/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -5,8 +5,10 @@
 use crate::source::Source;
 use crate::{Proxy, Reading, Watched};
 use garnettally_config::platform::take_host_lists;
-use garnettally_decisions::facade::Report;
+use garnettally_decisions::facade::{Listed, Report};
+use garnettally_model::{HostList, Listing};
 use slog::{info, warn};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Instant;
 
@@ -23,16 +25,39 @@
     deadline: Instant,
 }
 
-/// The watch and the version that it goes on from.
+/// The watch, the version that it goes on from, and what was listed up to there.
 pub struct Discovery {
     address: SocketAddr,
     version: u64,
+    hosts: BTreeMap<String, (Listing, Option<SocketAddr>)>,
     watch: Option<Watch>,
 }
 
 impl Discovery {
-    pub fn new(address: SocketAddr, version: u64) -> Discovery {
-        Discovery { address, version, watch: None }
+    pub fn new(address: SocketAddr, known: Option<&HostList>) -> Discovery {
+        let mut discovery = Discovery { address, version: 0, hosts: BTreeMap::new(), watch: None };
+        if let Some(known) = known {
+            discovery.take(known);
+        }
+        discovery
+    }
+
+    fn take(&mut self, list: &HostList) {
+        self.version = list.seq;
+        if list.whole {
+            self.hosts.clear();
+        }
+        for (listing, dial) in &list.hosts {
+            match listing.state {
+                Listed::Gone => self.hosts.remove(&listing.name),
+                _ => self.hosts.insert(listing.name.clone(), (listing.clone(), *dial)),
+            };
+        }
+    }
+
+    /// The list as it is held now.
+    pub fn held(&self) -> HostList {
+        HostList { seq: self.version, whole: true, hosts: self.hosts.values().cloned().collect() }
     }
 
     /// Where it answers.
@@ -40,6 +65,11 @@
         self.address
     }
 
+    /// Whether its watch is the one of this number.
+    pub fn watches(&self, number: u64) -> bool {
+        self.watch.as_ref().is_some_and(|w| w.number == number)
+    }
+
     /// When silence ends the watch.
     pub fn deadline(&self) -> Option<Instant> {
         self.watch.as_ref().map(|w| w.deadline)
@@ -74,8 +104,12 @@
         else {
             return;
         };
-        let ready =
-            move |proxy: &mut Proxy, r: calloop::Readiness| proxy.discovery_ready(pool, number, r.writable);
+        let ready = move |proxy: &mut Proxy, r: calloop::Readiness| {
+            // Another pool may have taken the watch over.
+            if let Some(pool) = proxy.pools.watching(number) {
+                proxy.discovery_ready(pool, number, r.writable);
+            }
+        };
         let socket = match crate::connect(address).and_then(|s| self.net.watch(s, ready)) {
             Ok(socket) => socket,
             Err(e) => return self.watch_failed(pool, &e.to_string()),
@@ -121,7 +155,7 @@
 
     fn discovery_ready(&mut self, pool: PoolId, number: u64, writable: bool) {
         let answer_by = Instant::now() + self.net.limits.discovery_answer;
-        let mine = |d: &&mut Discovery| d.watch.as_ref().is_some_and(|w| w.number == number);
+        let mine = |d: &&mut Discovery| d.watches(number);
         let Some(watch) = self.discovery(pool).filter(&mine).and_then(|d| d.watch.as_mut()) else { return };
         if watch.written < watch.output.len() && writable {
             watch.deadline = answer_by;
@@ -187,13 +221,11 @@
         if alive {
             watch.deadline = Instant::now() + limits.discovery_silence;
         }
-        if let Some(list) = lists.last() {
-            discovery.version = list.seq;
-        }
+        lists.iter().for_each(|list| discovery.take(list));
         for list in lists {
             info!(log, "hosts"; "seq" => list.seq, "whole" => list.whole, "entries" => list.hosts.len());
-            if let Some(p) = self.pools.get_mut(pool) {
-                p.queue(Report::Hosts(list), Instant::now());
+            for p in self.pools.told_by(pool) {
+                p.queue(Report::Hosts(list.clone()), Instant::now());
             }
         }
         result.map_err(|e| format!("a list makes no sense: {e}"))?;
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -267,9 +267,9 @@
         }
     }
 
-    /// Whether the first byte of an attempt may be written now: somebody waits for its answer, there is time, and
+    /// Whether an attempt may be written now: somebody waits for its answer, there is time, and
     /// the time in which its class lets it be repeated has not ended.
-    pub fn may_begin(&self, attempt: Attempt) -> bool {
+    pub fn may_write(&self, attempt: Attempt) -> bool {
         let now = Instant::now();
         let open = self.exchanges.open.get(&attempt.0).filter(|x| !x.over);
         open.is_some_and(|x| x.ask.expires > self.net.clock.at(now) && x.repeat_by.is_none_or(|by| now < by))
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -27,6 +27,8 @@
     pub name: String,
     pub decisions: Decisions,
     pub source: Source,
+    /// The pool that has taken its source over, and hears for both.
+    pub told_with: Option<PoolId>,
     /// What makes its instance of the module what it is.
     pub basis: Option<Basis>,
     /// Where its nodes are told, as it is written.
@@ -117,6 +119,31 @@
         self.all.keys().copied().collect()
     }
 
+    /// A pool and those whose source it has taken over.
+    pub fn told_by(&mut self, id: PoolId) -> impl Iterator<Item = &mut Pool> {
+        self.all.values_mut().filter(move |p| p.id == id || p.told_with == Some(id))
+    }
+
+    /// The pool with this watch.
+    pub fn watching(&self, number: u64) -> Option<PoolId> {
+        let watches = |p: &&Pool| matches!(&p.source, Source::Watch(d) if d.watches(number));
+        self.all.values().find(watches).map(|p| p.id)
+    }
+
+    /// Has `to` take over the source of `from` with all that it has told; both go on hearing of it.
+    pub fn hand_over_source(&mut self, from: PoolId, to: PoolId) {
+        let Some(source) = self.all.get_mut(&from).map(|p| std::mem::replace(&mut p.source, Source::Static))
+        else {
+            return;
+        };
+        for p in self.told_by(from) {
+            p.told_with = Some(to);
+        }
+        if let Some(p) = self.all.get_mut(&to) {
+            p.source = source;
+        }
+    }
+
     /// The pool of this name that takes requests.
     pub fn named(&self, name: &str) -> Option<PoolId> {
         self.all.values().find(|p| p.name == name && !p.leaving).map(|p| p.id)
@@ -131,7 +158,7 @@
         let at = self.net.clock.at(now);
         let (mut source, told) = Source::new(&plan.nodes, now);
         if let (Source::Watch(discovery), Some(known)) = (&mut source, &plan.known) {
-            *discovery = Discovery::new(discovery.address(), known.seq);
+            *discovery = Discovery::new(discovery.address(), Some(known));
         }
         let requests = self.budgets.requests.join(plan.requests);
         let connections = self.budgets.connections.join(plan.connections);
@@ -149,6 +176,7 @@
             drain_binds_alone: plan.site.settings.drain_binds_alone,
             decisions: Decisions::new(plan.site, seed, at),
             source,
+            told_with: None,
             basis: plan.basis,
             nodes: Some(plan.nodes),
             requests,
@@ -251,7 +279,7 @@
     /// Tells a pool's module of news; lists also tell where its nodes are reached, and how many are well.
     pub fn tell(&mut self, id: PoolId, now: Micros, report: Report) -> Vec<Decision> {
         let Some(pool) = self.pools.get_mut(id) else { return Vec::new() };
-        let mut found = Vec::new();
+        let (hint, mut found, mut left) = (pool.drain_binds_alone, Vec::new(), Vec::new());
         let mut all = false;
         if let Report::Hosts(list) | Report::Known(list) = &report {
             all = list.whole && matches!(report, Report::Hosts(_));
@@ -272,13 +300,13 @@
         if all {
             let named: rustc_hash::FxHashSet<ServerId> = found.iter().map(|f| f.0).collect();
             let gone = pool.health.keep_listed(|id| named.contains(&id));
+            // Where only draining binds, being called gone is a hint that the module may doubt.
+            left.extend(gone.iter().filter(|_| !hint).map(|&server| Target { pool: id, server }));
             // On the platform only draining binds: one that is left out may be sent to, and its connections cost.
             for server in gone.into_iter().filter(|_| pool.basis.is_some()) {
                 self.upstreams.close_idle(&self.net, Target { pool: id, server });
             }
         }
-        // Where only draining binds, being called gone is a hint that the module may doubt.
-        let (hint, mut left) = (pool.drain_binds_alone, Vec::new());
         for (server, dial, state) in found {
             let target = Target { pool: id, server };
             pool.ready |= state == Listed::Ready;
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -99,22 +99,26 @@
         }
     }
 
-    /// New settings on the platform: a new pool with its own instance of the module takes new requests once it has
-    /// its list, and the one before ends what it has taken by the settings that it was taken under (an open request
-    /// keeps its class). Until the new one is ready, the old one serves the classes that it knows.
+    /// New settings on the platform: a new pool with its own instance of the module takes new requests, and the one
+    /// before ends what it has taken by the settings that it was taken under (an open request keeps its class). The new
+    /// one takes the watch over with all that it has told: the file's list may be old, and what has been told binds.
+    /// Until it is ready, the old one serves the classes that it knows.
     fn retune_platform(&mut self, config: &Config) {
         let print = fingerprint(&config.site);
         if self.reload.settings.as_ref() == Some(&print) {
             return;
         }
         self.finish_retune(true);
-        let Some(old) = self.pools.iter().filter(|p| !p.leaving).last().map(|p| p.id) else { return };
+        let Some(old) = self.pools.iter().filter(|p| !p.leaving).last() else { return };
+        let (old, held) = (old.id, old.source.held());
         let now = Instant::now();
-        let plan = crate::plan::Plan::platform_pool(config, &self.net.limits);
+        let mut plan = crate::plan::Plan::platform_pool(config, &self.net.limits);
+        plan.known = held.or(plan.known);
         config.site.names.classes().iter().for_each(|c| self.stats.know_class(c));
         self.reload.versions += 1;
         let seed = self.seed.rotate_left(7) ^ self.reload.versions;
         let new = self.add_pool(plan, seed, now);
+        self.pools.hand_over_source(old, new);
         self.reload.settings = Some(print);
         self.reload.retiring = Some((old, new, now + self.net.limits.reload_wait));
         info!(self.net.log, "new settings are taken"; "classes" => config.site.settings.classes.len());
--- a/crates/serve/src/source.rs
+++ b/crates/serve/src/source.rs
@@ -62,7 +62,15 @@
                 let file = NodesFile { path, read: None, seen: None, next_look: now, missing: false };
                 (Source::File(file), None)
             }
-            Nodes::Watch(address) => (Source::Watch(Discovery::new(*address, 0)), None),
+            Nodes::Watch(address) => (Source::Watch(Discovery::new(*address, None)), None),
+        }
+    }
+
+    /// The list as its watch holds it.
+    pub fn held(&self) -> Option<HostList> {
+        match self {
+            Source::Watch(discovery) => Some(discovery.held()),
+            _ => None,
         }
     }
 
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -351,9 +351,10 @@
             }
             conn.open = true;
         }
-        // It was decided on when the connection was asked for, and that may be long ago.
-        let begins = conn.flight.as_ref().filter(|_| conn.written == 0).map(|f| f.attempt);
-        if let Some(attempt) = begins.filter(|a| !self.may_begin(*a)) {
+        // It was decided on when the connection was asked for, and that may be long ago; nor can it run before its last
+        // byte is written.
+        let unwritten = conn.flight.as_ref().filter(|_| conn.written < conn.output.len()).map(|f| f.attempt);
+        if let Some(attempt) = unwritten.filter(|a| !self.may_write(*a)) {
             if let Some(ended) = self.upstreams.drop_unwritten(&self.net, attempt) {
                 self.attempt_ended(ended);
             }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -406,13 +406,100 @@
     let discovery = Discovery::start();
     let hosts = [host("s", up.address, 0, "SERVING")];
     let mut b = Balancer::start(&discovery, &hosts);
-    let (_, _watch) = discovery.watch();
     let text = config(b.address, discovery.address, 1024, &hosts).replace(SETTINGS, &short());
-    std::fs::write(&b.config, text).unwrap();
+    std::fs::write(&b.config, text.replace("\"Name\":\"look\"", "\"Name\":\"view\"")).unwrap();
     b.signal("HUP");
-    discovery.watch(); // the new settings' own
+    until("the new settings", || b.ask(&look("0.4").replace("/look/", "/view/")).status() == 200);
     b.signal("TERM");
     let told = Instant::now();
     assert!(b.wait().success());
     assert!(told.elapsed() < Duration::from_millis(2500), "{:?}", told.elapsed());
 }
+
+/// A configuration like this one whose settings differ, so that SIGHUP brings a new instance of the module.
+fn with_new_settings(text: &str) -> String {
+    text.replace("\"OverShareWorth\":0.05", "\"OverShareWorth\":0.06")
+}
+
+/// Guards against new settings that forget what discovery has told: the file's list is that of an earlier time, and
+/// until a watch of their own came up the new settings sent to a host that drains. One watch goes on for both.
+#[test]
+fn new_settings_keep_to_what_discovery_has_told() {
+    let (drains, stays, third) =
+        (Upstream::start(|_| ok("drains")), Upstream::start(|_| ok("x")), Upstream::start(|_| ok("x")));
+    let discovery = Discovery::start();
+    let hosts = [host("d", drains.address, 0, "SERVING"), host("s", stays.address, 0, "SERVING")];
+    let at = free_address();
+    let text = config(at, discovery.address, 1024, &hosts);
+    let b = Balancer::spawn(at, &text, |_| {});
+    let (_, mut watch) = discovery.watch();
+    watch.chunk(&(list(8, false, &[host("d", drains.address, 0, "DRAINING")]) + "\n"));
+    let settled = |up: &Upstream| {
+        let before = up.count();
+        (0..8).for_each(|_| assert_eq!(b.ask(&look("1.2")).status(), 200));
+        up.count() == before
+    };
+    until("the list", || settled(&drains));
+    let before = drains.count();
+    // A list that makes sense to nobody but the new settings: their class is there once they are in force.
+    let new = with_new_settings(&text).replace("\"Name\":\"look\"", "\"Name\":\"view\"");
+    std::fs::write(&b.config, new).unwrap();
+    b.signal("HUP");
+    let view = || b.ask(&look("1.2").replace("/look/", "/view/")).status();
+    until("the new settings", || view() == 200);
+    (0..30).for_each(|_| assert_eq!(view(), 200));
+    assert_eq!(drains.count(), before, "sent to a host that was told to drain");
+    // The watch is the one that was there.
+    watch.chunk(
+        &(list(9, false, &[host("s", stays.address, 0, "DRAINING"), host("t", third.address, 0, "SERVING")])
+            + "\n"),
+    );
+    until("the next list", || {
+        let before = (stays.count(), third.count());
+        (0..4).for_each(|_| assert_eq!(view(), 200));
+        stays.count() == before.0 && third.count() > before.1
+    });
+}
+
+/// Guards against new settings that go back to the discovery of the start, which the environment named and the file
+/// has since left.
+#[test]
+fn new_settings_stay_with_the_discovery_that_was_moved_to() {
+    let up = Upstream::start(|_| ok("x"));
+    let (before, after) = (Discovery::start(), Discovery::start());
+    let at = free_address();
+    let hosts = [host("s", up.address, 0, "SERVING")];
+    let b = Balancer::spawn(at, &config(at, before.address, 1024, &hosts), |command| {
+        command.env("GW_DISCOVERY", before.address.to_string());
+    });
+    before.watch();
+    let moved = config(at, after.address, 1024, &hosts);
+    std::fs::write(&b.config, &moved).unwrap();
+    b.signal("HUP");
+    let (_, mut watch) = after.watch();
+    std::fs::write(&b.config, with_new_settings(&moved).replace("\"Name\":\"look\"", "\"Name\":\"view\""))
+        .unwrap();
+    b.signal("HUP");
+    until("the new settings", || b.ask(&look("1.2").replace("/look/", "/view/")).status() == 200);
+    watch.chunk("nonsense\n");
+    let (line, _watch) = after.watch();
+    assert!(line.starts_with("GET /v1/endpoints"), "{line}");
+    assert!(before.watches.try_recv().is_err(), "the discovery of the start was asked");
+}
+
+/// Guards against new work for a host that a whole list leaves out: its connection was on its way.
+#[test]
+fn what_waits_for_its_connection_goes_elsewhere_once_its_host_is_left_out() {
+    let late = Late::start();
+    let good = Upstream::start(|_| ok("elsewhere"));
+    let discovery = Discovery::start();
+    let b = start(&discovery, &[host("l", late.address, 0, "SERVING")], &settings(&PATIENT));
+    let (_, mut watch) = discovery.watch();
+    let mut client = b.client();
+    client.send(&book("6", "x"));
+    until("an attempt that waits for its connection", || late.waits());
+    let told = Instant::now();
+    watch.chunk(&(list(8, true, &[host("g", good.address, 0, "SERVING")]) + "\n"));
+    assert_eq!(&client.answer().expect("an answer").body[..], b"elsewhere");
+    assert!(told.elapsed() < Duration::from_secs(3), "{:?}: its own time was up", told.elapsed());
+}
