--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -10,21 +10,6 @@
 use std::time::{Duration, Instant};
 use support::*;
 
-/// The settings with these changes.
-fn settings(changes: &[(&str, &str)]) -> String {
-    changes.iter().fold(SETTINGS.to_string(), |text, (from, to)| {
-        assert!(text.contains(from), "{from}");
-        text.replace(from, to)
-    })
-}
-
-/// A balancer on these settings.
-fn start(discovery: &Discovery, known: &[String], settings: &str) -> Balancer {
-    let address = free_address();
-    let text = config(address, discovery.address, 1024, known).replace(SETTINGS, settings);
-    Balancer::spawn(address, &text, |_| {})
-}
-
 /// Connections may take longer than a SYN takes to be sent again, and nothing is called off meanwhile.
 const PATIENT: [(&str, &str); 2] = [
     ("\"DialTimeoutUs\":250000", "\"DialTimeoutUs\":5000000"),
@@ -146,14 +131,6 @@
     assert_eq!(client.answer().expect("an answer").status(), 502, "it may have run");
 }
 
-/// Whether a client's connection has something to read.
-fn ended(stream: &TcpStream) -> bool {
-    stream.set_nonblocking(true).unwrap();
-    let found = stream.peek(&mut [0]).is_ok();
-    stream.set_nonblocking(false).unwrap();
-    found
-}
-
 /// Guards against new work for a host that drains: its connection was on its way when the list said so.
 #[test]
 fn what_waits_for_its_connection_goes_elsewhere_once_its_host_drains() {
@@ -324,182 +301,144 @@
     }
 }
 
-/// Short deadlines: closing begins 0.6 s after SIGTERM.
-const SHORT: [(&str, &str); 3] = [
-    ("\"HardLimitUs\":6000000", "\"HardLimitUs\":500000"),
-    ("\"HardLimitUs\":1500000,", "\"HardLimitUs\":500000,"),
-    ("\"SloUs\":1500000", "\"SloUs\":500000"),
-];
-
-fn short() -> String {
-    settings(&SHORT).replace("\"SloUs\":6000000", "\"SloUs\":500000")
-}
-
-/// Guards against a close that crosses bytes of the client: it would be a reset, which may cost the answer before it.
+/// Guards against new work for a host that a whole list leaves out: its connection was on its way.
 #[test]
-fn a_resting_connection_ends_without_a_reset() {
-    let up = Upstream::start(|_| ok("x"));
+fn what_waits_for_its_connection_goes_elsewhere_once_its_host_is_left_out() {
+    let late = Late::start();
+    let good = Upstream::start(|_| ok("elsewhere"));
     let discovery = Discovery::start();
-    let b = start(&discovery, &[host("s", up.address, 0, "SERVING")], &short());
+    let b = start(&discovery, &[host("l", late.address, 0, "SERVING")], &settings(&PATIENT));
+    let (_, mut watch) = discovery.watch();
     let mut client = b.client();
-    assert_eq!(client.ask(&look("0.4")).status(), 200);
-    b.signal("TERM");
-    assert!(client.answer().is_none(), "the end of its sending");
-    // A request that was on its way: nobody takes it, and it does no harm.
-    client.send(&look("0.4"));
-    thread::sleep(Duration::from_millis(30)); // a reset has its time to come back
-    client.stream.write_all(b"more").expect("no reset");
-    assert_eq!(up.count(), 1);
+    client.send(&book("6", "x"));
+    until("an attempt that waits for its connection", || late.waits());
+    let told = Instant::now();
+    watch.chunk(&(list(8, true, &[host("g", good.address, 0, "SERVING")]) + "\n"));
+    assert_eq!(&client.answer().expect("an answer").body[..], b"elsewhere");
+    assert!(told.elapsed() < Duration::from_secs(3), "{:?}: its own time was up", told.elapsed());
 }
 
-/// Guards against new connections that are closed before their first request: they came up just when closing began.
-#[test]
-fn a_connection_that_came_up_at_the_end_gets_its_answer() {
-    let up = Upstream::start(|_| ok("x"));
-    let discovery = Discovery::start();
-    let b = start(&discovery, &[host("s", up.address, 0, "SERVING")], &short());
-    let mut resting = b.client();
-    resting.ask(READY);
-    b.signal("TERM");
-    let told = Instant::now();
-    until("SIGTERM taken", || {
-        resting.ask(READY).status() == 200 && told.elapsed() > Duration::from_millis(50)
+/// The settings with the second class unsafe to repeat.
+fn unsafe_book(changes: &[(&str, &str)]) -> String {
+    settings(changes).replace("\"Semantics\":\"keyed\"", "\"Semantics\":\"unsafe\"")
+}
+
+/// A request of the class that is unsafe to repeat: it comes without a key.
+fn order() -> String {
+    book("5", "x").replace("Idempotency-Key: 5c0f6e1a\r\n", "")
+}
+
+/// An upstream that answers so much of what it is asked, then resets the connection; how often it was asked.
+fn resets(start_of_answer: &'static str) -> (SocketAddr, Arc<Mutex<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(Mutex::new(0));
+    let asked = count.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            if Message::read(&mut std::io::BufReader::new(stream.try_clone().unwrap())).is_none() {
+                continue;
+            }
+            *asked.lock().unwrap() += 1;
+            stream.write_all(start_of_answer.as_bytes()).unwrap();
+            socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
     });
-    b.signal("STOP");
-    let mut new = b.client();
-    thread::sleep(Duration::from_millis(900).saturating_sub(told.elapsed())); // past the closing and the accepting
-    b.signal("CONT");
-    until("the closing", || ended(&resting.stream));
-    assert_eq!(new.ask(&look("0.3")).status(), 200);
+    (address, count)
 }
 
-/// Guards against what waits in the listener's queue, for want of room, when it closes: all of it was reset.
+/// Guards against half an answer that passes for a whole one: without a length its end is the connection's, and a
+/// reset is no end. What may not be repeated is not, and its client is told that nothing is promised.
 #[test]
-fn what_waits_to_be_accepted_at_the_end_is_answered() {
-    let up = Upstream::start(|_| ok("x"));
-    let discovery = Discovery::start();
-    let address = free_address();
-    let text = config(address, discovery.address, 64, &[host("s", up.address, 0, "SERVING")]);
-    let text = text.replace(SETTINGS, &short());
-    let b = Balancer::spawn(address, &text, |_| {});
-    let mut resting = b.client();
-    resting.ask(READY);
-    b.signal("TERM");
-    let told = Instant::now();
-    until("SIGTERM taken", || {
-        resting.ask(READY).status() == 200 && told.elapsed() > Duration::from_millis(50)
-    });
-    b.signal("STOP");
-    let mut clients: Vec<_> = (0..60).map(|_| b.client()).collect();
-    clients.iter_mut().for_each(|c| c.send(&look("0.3")));
-    thread::sleep(Duration::from_millis(850).saturating_sub(told.elapsed())); // past the accepting
-    b.signal("CONT");
-    let lost =
-        clients.iter_mut().filter_map(|c| c.answer()).filter(|a| matches!(a.status(), 200 | 503)).count();
-    assert_eq!(lost, 60, "of 60 answered");
+fn a_reset_is_no_end_of_an_answer_and_an_unsafe_request_goes_out_once() {
+    for begun in ["", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nhalf"] {
+        let (bad, asked) = resets(begun);
+        let good = Upstream::start(|_| ok("whole"));
+        let discovery = Discovery::start();
+        let hosts = [host("b", bad, 0, "SERVING"), host("g", good.address, 0, "SERVING")];
+        let b = start(&discovery, &hosts, &unsafe_book(&[]));
+        let mut failed = 0;
+        for _ in 0..12 {
+            let (before, sent) = (good.count() + *asked.lock().unwrap(), order());
+            let answer = b.ask(&sent);
+            assert!(answer.status() == 502 || answer.body == b"whole", "{answer:?}");
+            failed += usize::from(answer.status() == 502);
+            assert_eq!(good.count() + *asked.lock().unwrap(), before + 1, "sent once");
+        }
+        assert!(failed > 0, "the bad one was never met");
+        // What is safe to repeat may be, within the budget; never is half of an answer passed on.
+        let answers: Vec<_> = (0..6).map(|_| b.ask(&look("1.2"))).collect();
+        assert!(answers.iter().all(|a| a.status() == 503 || a.body == b"whole"), "{answers:?}");
+        assert!(answers.iter().any(|a| a.status() == 200), "{answers:?}");
+    }
 }
 
-/// Guards against times of the settings before: SIGKILL comes by the new ones.
+/// Guards against a close of the upstream that crosses a request which may not be repeated: it does not go out on a
+/// connection that has rested for half of its time.
 #[test]
-fn after_a_reload_the_end_comes_by_the_new_deadlines() {
+fn an_unsafe_request_takes_no_connection_that_is_near_its_end() {
     let up = Upstream::start(|_| ok("x"));
     let discovery = Discovery::start();
-    let hosts = [host("s", up.address, 0, "SERVING")];
-    let mut b = Balancer::start(&discovery, &hosts);
-    let text = config(b.address, discovery.address, 1024, &hosts).replace(SETTINGS, &short());
-    std::fs::write(&b.config, text.replace("\"Name\":\"look\"", "\"Name\":\"view\"")).unwrap();
-    b.signal("HUP");
-    until("the new settings", || b.ask(&look("0.4").replace("/look/", "/view/")).status() == 200);
-    b.signal("TERM");
-    let told = Instant::now();
-    assert!(b.wait().success());
-    assert!(told.elapsed() < Duration::from_millis(2500), "{:?}", told.elapsed());
-}
-
-/// A configuration like this one whose settings differ, so that SIGHUP brings a new instance of the module.
-fn with_new_settings(text: &str) -> String {
-    text.replace("\"OverShareWorth\":0.05", "\"OverShareWorth\":0.06")
+    let s = unsafe_book(&[("\"IdleCloseUs\":60000000", "\"IdleCloseUs\":3000000")]);
+    let b = start(&discovery, &[host("s", up.address, 0, "SERVING")], &s);
+    let opened = || up.opened.load(std::sync::atomic::Ordering::SeqCst);
+    let rest = || thread::sleep(Duration::from_millis(1250)); // of the 2 s that a connection is kept
+    assert_eq!(b.ask(&order()).status(), 200);
+    rest();
+    assert_eq!((b.ask(&look("1.2")).status(), opened()), (200, 1), "one that may be repeated takes it");
+    rest();
+    assert_eq!((b.ask(&order()).status(), opened()), (200, 2));
 }
 
-/// Guards against new settings that forget what discovery has told: the file's list is that of an earlier time, and
-/// until a watch of their own came up the new settings sent to a host that drains. One watch goes on for both.
+/// Guards against bytes behind an answer that pass for the next one.
 #[test]
-fn new_settings_keep_to_what_discovery_has_told() {
-    let (drains, stays, third) =
-        (Upstream::start(|_| ok("drains")), Upstream::start(|_| ok("x")), Upstream::start(|_| ok("x")));
+fn what_follows_an_answer_is_nobodys() {
+    let answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+    let up = Upstream::start(move |_| Reply::Bytes(answer.into()));
     let discovery = Discovery::start();
-    let hosts = [host("d", drains.address, 0, "SERVING"), host("s", stays.address, 0, "SERVING")];
-    let at = free_address();
-    let text = config(at, discovery.address, 1024, &hosts);
-    let b = Balancer::spawn(at, &text, |_| {});
-    let (_, mut watch) = discovery.watch();
-    watch.chunk(&(list(8, false, &[host("d", drains.address, 0, "DRAINING")]) + "\n"));
-    let settled = |up: &Upstream| {
-        let before = up.count();
-        (0..8).for_each(|_| assert_eq!(b.ask(&look("1.2")).status(), 200));
-        up.count() == before
-    };
-    until("the list", || settled(&drains));
-    let before = drains.count();
-    // A list that makes sense to nobody but the new settings: their class is there once they are in force.
-    let new = with_new_settings(&text).replace("\"Name\":\"look\"", "\"Name\":\"view\"");
-    std::fs::write(&b.config, new).unwrap();
-    b.signal("HUP");
-    let view = || b.ask(&look("1.2").replace("/look/", "/view/")).status();
-    until("the new settings", || view() == 200);
-    (0..30).for_each(|_| assert_eq!(view(), 200));
-    assert_eq!(drains.count(), before, "sent to a host that was told to drain");
-    // The watch is the one that was there.
-    watch.chunk(
-        &(list(9, false, &[host("s", stays.address, 0, "DRAINING"), host("t", third.address, 0, "SERVING")])
-            + "\n"),
-    );
-    until("the next list", || {
-        let before = (stays.count(), third.count());
-        (0..4).for_each(|_| assert_eq!(view(), 200));
-        stays.count() == before.0 && third.count() > before.1
-    });
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    for n in 1..4 {
+        assert_eq!(b.ask(&look("1.2")).body, b"x");
+        assert_eq!(up.opened.load(std::sync::atomic::Ordering::SeqCst), n, "each on its own connection");
+    }
 }
 
-/// Guards against new settings that go back to the discovery of the start, which the environment named and the file
-/// has since left.
+/// Guards against two reports of one attempt, and two answers to one request: while the process stands still its answer
+/// comes, its client leaves, and its time passes. It finds them all in one turn.
 #[test]
-fn new_settings_stay_with_the_discovery_that_was_moved_to() {
-    let up = Upstream::start(|_| ok("x"));
-    let (before, after) = (Discovery::start(), Discovery::start());
-    let at = free_address();
-    let hosts = [host("s", up.address, 0, "SERVING")];
-    let b = Balancer::spawn(at, &config(at, before.address, 1024, &hosts), |command| {
-        command.env("GW_DISCOVERY", before.address.to_string());
+fn an_answer_a_leave_and_a_deadline_in_one_turn_end_a_request_once() {
+    let ((asked, was_asked), (go, may_go)) = (channel::<()>(), channel::<()>());
+    let hold = Mutex::new((asked, may_go));
+    let up = Upstream::start(move |m| {
+        if m.start.contains("book") {
+            let hold = hold.lock().unwrap();
+            hold.0.send(()).unwrap();
+            hold.1.recv_timeout(PATIENCE).unwrap();
+        }
+        ok("x")
     });
-    before.watch();
-    let moved = config(at, after.address, 1024, &hosts);
-    std::fs::write(&b.config, &moved).unwrap();
-    b.signal("HUP");
-    let (_, mut watch) = after.watch();
-    std::fs::write(&b.config, with_new_settings(&moved).replace("\"Name\":\"look\"", "\"Name\":\"view\""))
-        .unwrap();
-    b.signal("HUP");
-    until("the new settings", || b.ask(&look("1.2").replace("/look/", "/view/")).status() == 200);
-    watch.chunk("nonsense\n");
-    let (line, _watch) = after.watch();
-    assert!(line.starts_with("GET /v1/endpoints"), "{line}");
-    assert!(before.watches.try_recv().is_err(), "the discovery of the start was asked");
-}
-
-/// Guards against new work for a host that a whole list leaves out: its connection was on its way.
-#[test]
-fn what_waits_for_its_connection_goes_elsewhere_once_its_host_is_left_out() {
-    let late = Late::start();
-    let good = Upstream::start(|_| ok("elsewhere"));
     let discovery = Discovery::start();
-    let b = start(&discovery, &[host("l", late.address, 0, "SERVING")], &settings(&PATIENT));
-    let (_, mut watch) = discovery.watch();
-    let mut client = b.client();
-    client.send(&book("6", "x"));
-    until("an attempt that waits for its connection", || late.waits());
-    let told = Instant::now();
-    watch.chunk(&(list(8, true, &[host("g", good.address, 0, "SERVING")]) + "\n"));
-    assert_eq!(&client.answer().expect("an answer").body[..], b"elsewhere");
-    assert!(told.elapsed() < Duration::from_secs(3), "{:?}: its own time was up", told.elapsed());
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    for leaves in [true, false] {
+        let mut client = b.client();
+        client.send(&book("0.5", "x"));
+        let sent = Instant::now();
+        was_asked.recv_timeout(PATIENCE).expect("the attempt");
+        b.signal("STOP");
+        go.send(()).unwrap();
+        if leaves {
+            client.stream.shutdown(Shutdown::Both).unwrap();
+        }
+        thread::sleep(Duration::from_millis(700).saturating_sub(sent.elapsed())); // past its time
+        b.signal("CONT");
+        if !leaves {
+            assert!(matches!(client.answer().expect("an answer").status(), 200 | 502 | 503));
+            // The next answer on the connection is the next request's.
+            assert_eq!(client.ask(READY).status(), 200);
+            assert_eq!(&client.ask(&look("1.2")).body[..], b"x");
+        }
+        assert_eq!(b.ask(&look("1.2")).status(), 200);
+    }
 }
--- /dev/null
+++ b/tests/endings.rs
@@ -0,0 +1,211 @@
+//! The end of a process and new settings, forced to cross what clients and discovery do meanwhile.
+
+mod support;
+
+use std::io::Write;
+use std::thread;
+use std::time::{Duration, Instant};
+use support::*;
+
+/// Short deadlines: closing begins 0.6 s after SIGTERM.
+const SHORT: [(&str, &str); 3] = [
+    ("\"HardLimitUs\":6000000", "\"HardLimitUs\":500000"),
+    ("\"HardLimitUs\":1500000,", "\"HardLimitUs\":500000,"),
+    ("\"SloUs\":1500000", "\"SloUs\":500000"),
+];
+
+/// A balancer with short deadlines and so many descriptors, and the file that its log goes to.
+fn short_with_log(discovery: &Discovery, sockets: u32, hosts: &[String]) -> (Balancer, String) {
+    let (address, log) = (free_address(), config_file(""));
+    let text = config(address, discovery.address, sockets, hosts).replace(SETTINGS, &short());
+    let b = Balancer::spawn(address, &text, |command| {
+        command.stderr(std::fs::File::options().append(true).open(&log).unwrap());
+    });
+    (b, log)
+}
+
+/// Sends SIGTERM and waits until it is taken: of signals that are pending together the kernel gives out any first.
+fn tell_to_end(b: &Balancer, log: &str) -> Instant {
+    let told = Instant::now();
+    b.signal("TERM");
+    until("SIGTERM taken", || std::fs::read_to_string(log).unwrap().contains("told to end"));
+    told
+}
+
+fn short() -> String {
+    settings(&SHORT).replace("\"SloUs\":6000000", "\"SloUs\":500000")
+}
+
+/// Guards against a close that crosses bytes of the client: it would be a reset, which may cost the answer before it.
+#[test]
+fn a_resting_connection_ends_without_a_reset() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let b = start(&discovery, &[host("s", up.address, 0, "SERVING")], &short());
+    let mut client = b.client();
+    assert_eq!(client.ask(&look("0.4")).status(), 200);
+    b.signal("TERM");
+    assert!(client.answer().is_none(), "the end of its sending");
+    // A request that was on its way: nobody takes it, and it does no harm.
+    client.send(&look("0.4"));
+    thread::sleep(Duration::from_millis(30)); // a reset has its time to come back
+    client.stream.write_all(b"more").expect("no reset");
+    assert_eq!(up.count(), 1);
+}
+
+/// Guards against new connections that are closed before their first request: they came up just when closing began.
+#[test]
+fn a_connection_that_came_up_at_the_end_gets_its_answer() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let (b, log) = short_with_log(&discovery, 1024, &[host("s", up.address, 0, "SERVING")]);
+    let mut resting = b.client();
+    resting.ask(READY);
+    let told = tell_to_end(&b, &log);
+    b.signal("STOP");
+    let mut new = b.client();
+    thread::sleep(Duration::from_millis(900).saturating_sub(told.elapsed())); // past the closing and the accepting
+    b.signal("CONT");
+    until("the closing", || ended(&resting.stream));
+    assert_eq!(new.ask(&look("0.3")).status(), 200);
+}
+
+/// Guards against what waits in the listener's queue, for want of room, when it closes: all of it was reset.
+#[test]
+fn what_waits_to_be_accepted_at_the_end_is_answered() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let (b, log) = short_with_log(&discovery, 64, &[host("s", up.address, 0, "SERVING")]);
+    let told = tell_to_end(&b, &log);
+    b.signal("STOP");
+    let mut clients: Vec<_> = (0..60).map(|_| b.client()).collect();
+    clients.iter_mut().for_each(|c| c.send(&look("0.3")));
+    thread::sleep(Duration::from_millis(850).saturating_sub(told.elapsed())); // past the accepting
+    b.signal("CONT");
+    let lost =
+        clients.iter_mut().filter_map(|c| c.answer()).filter(|a| matches!(a.status(), 200 | 503)).count();
+    assert_eq!(lost, 60, "of 60 answered");
+}
+
+/// Guards against times of the settings before: SIGKILL comes by the new ones.
+#[test]
+fn after_a_reload_the_end_comes_by_the_new_deadlines() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let hosts = [host("s", up.address, 0, "SERVING")];
+    let mut b = Balancer::start(&discovery, &hosts);
+    let text = config(b.address, discovery.address, 1024, &hosts).replace(SETTINGS, &short());
+    std::fs::write(&b.config, text.replace("\"Name\":\"look\"", "\"Name\":\"view\"")).unwrap();
+    b.signal("HUP");
+    until("the new settings", || b.ask(&look("0.4").replace("/look/", "/view/")).status() == 200);
+    b.signal("TERM");
+    let told = Instant::now();
+    assert!(b.wait().success());
+    assert!(told.elapsed() < Duration::from_millis(2500), "{:?}", told.elapsed());
+}
+
+/// A configuration like this one whose settings differ, so that SIGHUP brings a new instance of the module.
+fn with_new_settings(text: &str) -> String {
+    text.replace("\"OverShareWorth\":0.05", "\"OverShareWorth\":0.06")
+}
+
+/// Guards against new settings that forget what discovery has told: the file's list is that of an earlier time, and
+/// until a watch of their own came up the new settings sent to a host that drains. One watch goes on for both.
+#[test]
+fn new_settings_keep_to_what_discovery_has_told() {
+    let (drains, stays, third) =
+        (Upstream::start(|_| ok("drains")), Upstream::start(|_| ok("x")), Upstream::start(|_| ok("x")));
+    let discovery = Discovery::start();
+    let hosts = [host("d", drains.address, 0, "SERVING"), host("s", stays.address, 0, "SERVING")];
+    let at = free_address();
+    let text = config(at, discovery.address, 1024, &hosts);
+    let b = Balancer::spawn(at, &text, |_| {});
+    let (_, mut watch) = discovery.watch();
+    watch.chunk(&(list(8, false, &[host("d", drains.address, 0, "DRAINING")]) + "\n"));
+    let settled = |up: &Upstream| {
+        let before = up.count();
+        (0..8).for_each(|_| assert_eq!(b.ask(&look("1.2")).status(), 200));
+        up.count() == before
+    };
+    until("the list", || settled(&drains));
+    let before = drains.count();
+    // A list that makes sense to nobody but the new settings: their class is there once they are in force.
+    let new = with_new_settings(&text).replace("\"Name\":\"look\"", "\"Name\":\"view\"");
+    std::fs::write(&b.config, new).unwrap();
+    b.signal("HUP");
+    let view = || b.ask(&look("1.2").replace("/look/", "/view/")).status();
+    until("the new settings", || view() == 200);
+    (0..30).for_each(|_| assert_eq!(view(), 200));
+    assert_eq!(drains.count(), before, "sent to a host that was told to drain");
+    // The watch is the one that was there.
+    watch.chunk(
+        &(list(9, false, &[host("s", stays.address, 0, "DRAINING"), host("t", third.address, 0, "SERVING")])
+            + "\n"),
+    );
+    until("the next list", || {
+        let before = (stays.count(), third.count());
+        (0..4).for_each(|_| assert_eq!(view(), 200));
+        stays.count() == before.0 && third.count() > before.1
+    });
+}
+
+/// Guards against new settings that go back to the discovery of the start, which the environment named and the file
+/// has since left.
+#[test]
+fn new_settings_stay_with_the_discovery_that_was_moved_to() {
+    let up = Upstream::start(|_| ok("x"));
+    let (before, after) = (Discovery::start(), Discovery::start());
+    let at = free_address();
+    let hosts = [host("s", up.address, 0, "SERVING")];
+    let b = Balancer::spawn(at, &config(at, before.address, 1024, &hosts), |command| {
+        command.env("GW_DISCOVERY", before.address.to_string());
+    });
+    before.watch();
+    let moved = config(at, after.address, 1024, &hosts);
+    std::fs::write(&b.config, &moved).unwrap();
+    b.signal("HUP");
+    let (_, mut watch) = after.watch();
+    std::fs::write(&b.config, with_new_settings(&moved).replace("\"Name\":\"look\"", "\"Name\":\"view\""))
+        .unwrap();
+    b.signal("HUP");
+    until("the new settings", || b.ask(&look("1.2").replace("/look/", "/view/")).status() == 200);
+    watch.chunk("nonsense\n");
+    let (line, _watch) = after.watch();
+    assert!(line.starts_with("GET /v1/endpoints"), "{line}");
+    assert!(before.watches.try_recv().is_err(), "the discovery of the start was asked");
+}
+
+/// Guards against an end that starts over: SIGTERM again, and SIGHUP with longer deadlines, while it is under way.
+#[test]
+fn signals_during_the_end_do_not_put_it_off() {
+    let up = Upstream::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let hosts = [host("s", up.address, 0, "SERVING")];
+    let (mut b, log) = short_with_log(&discovery, 1024, &hosts);
+    let told = tell_to_end(&b, &log);
+    let longer = config(b.address, discovery.address, 1024, &hosts);
+    std::fs::write(&b.config, longer).unwrap();
+    b.signal("HUP");
+    thread::sleep(Duration::from_millis(300));
+    b.signal("TERM");
+    assert_eq!(b.ask(&look("0.4")).status(), 200);
+    assert!(b.wait().success());
+    assert!(told.elapsed() < Duration::from_millis(2500), "{:?}", told.elapsed());
+}
+
+/// Guards against requests that are forgotten, and an end that never comes, where no list was ever heard.
+#[test]
+fn sigterm_before_the_first_list_answers_what_waits() {
+    let discovery = Discovery::start();
+    let address = free_address();
+    let text = config(address, discovery.address, 1024, &[]).replace(SETTINGS, &short());
+    let mut b = Balancer { address, child: program(&text).spawn().unwrap(), config: String::new() };
+    until("the listener", || Client::connect(address).is_some());
+    let mut clients: Vec<_> = (0..5).map(|_| b.client()).collect();
+    clients.iter_mut().for_each(|c| c.send(&look("0.4")));
+    b.signal("TERM");
+    for mut client in clients {
+        assert_eq!(client.answer().expect("an answer").status(), 503);
+    }
+    assert!(b.wait().success());
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -450,3 +450,26 @@
 pub fn post(path: &str, key: &str) -> String {
     format!("POST {path} HTTP/1.1\r\nHost: app.test\r\nIdempotency-Key: {key}\r\nContent-Length: 2\r\n\r\nhi")
 }
+
+/// The settings with these changes.
+pub fn settings(changes: &[(&str, &str)]) -> String {
+    changes.iter().fold(SETTINGS.to_string(), |text, (from, to)| {
+        assert!(text.contains(from), "{from}");
+        text.replace(from, to)
+    })
+}
+
+/// A balancer on these settings.
+pub fn start(discovery: &Discovery, known: &[String], settings: &str) -> Balancer {
+    let address = free_address();
+    let text = config(address, discovery.address, 1024, known).replace(SETTINGS, settings);
+    Balancer::spawn(address, &text, |_| {})
+}
+
+/// Whether a client's connection has something to read.
+pub fn ended(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).unwrap();
+    let found = stream.peek(&mut [0]).is_ok();
+    stream.set_nonblocking(false).unwrap();
+    found
+}
