--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -175,7 +175,8 @@
     assert!(before.watches.try_recv().is_err(), "the discovery of the start was asked");
 }
 
-/// Guards against an end that starts over: SIGTERM again, and SIGHUP with longer deadlines, while it is under way.
+/// Guards against an end that starts over: SIGTERM again, and SIGHUP with longer deadlines and another discovery, while
+/// it is under way.
 #[test]
 fn signals_during_the_end_do_not_put_it_off() {
     let up = Upstream::start(|_| ok("x"));
@@ -183,10 +184,11 @@
     let hosts = [host("s", up.address, 0, "SERVING")];
     let (mut b, log) = short_with_log(&discovery, 1024, &hosts);
     let told = tell_to_end(&b, &log);
-    let longer = config(b.address, discovery.address, 1024, &hosts);
+    let moved = Discovery::start();
+    let longer = config(b.address, moved.address, 1024, &hosts);
     std::fs::write(&b.config, longer).unwrap();
     b.signal("HUP");
-    thread::sleep(Duration::from_millis(300));
+    moved.watch();
     b.signal("TERM");
     assert_eq!(b.ask(&look("0.4")).status(), 200);
     assert!(b.wait().success());
