--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -267,8 +267,8 @@
         }
     }
 
-    /// Whether an attempt may be written now: somebody waits for its answer, there is time, and
-    /// the time in which its class lets it be repeated has not ended.
+    /// Whether an attempt may be written now: somebody waits for its answer, there is time, and the time in which its
+    /// class lets it be repeated has not ended.
     pub fn may_write(&self, attempt: Attempt) -> bool {
         let now = Instant::now();
         let open = self.exchanges.open.get(&attempt.0).filter(|x| !x.over);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -24,12 +24,20 @@
     fillers: Vec<TcpStream>,
 }
 
+/// A listener whose queue takes one connection.
+fn narrow() -> TcpListener {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    socket.listen(0).unwrap();
+    TcpListener::from(socket)
+}
+
 impl Late {
     fn start() -> Late {
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
+        Late::fill(narrow())
+    }
+
+    fn fill(listener: TcpListener) -> Late {
         let address = listener.local_addr().unwrap();
         let mut fillers = Vec::new();
         // Until one more does not come up.
@@ -131,26 +139,53 @@
     assert_eq!(client.answer().expect("an answer").status(), 502, "it may have run");
 }
 
-/// Guards against new work for a host that drains: its connection was on its way when the list said so.
-#[test]
-fn what_waits_for_its_connection_goes_elsewhere_once_its_host_drains() {
+/// An attempt waits for its connection, then this list comes: the request is answered elsewhere, well within its time,
+/// and nothing of it came to the first one.
+fn goes_elsewhere(and_then: impl Fn(&Balancer, &str), listed: impl Fn(SocketAddr) -> Vec<String>) {
     let late = Late::start();
     let good = Upstream::start(|_| ok("elsewhere"));
     let discovery = Discovery::start();
-    let b = start(&discovery, &[host("l", late.address, 0, "SERVING")], &settings(&PATIENT));
+    let (at, hosts) = (free_address(), [host("l", late.address, 0, "SERVING")]);
+    let text = config(at, discovery.address, 1024, &hosts).replace(SETTINGS, &settings(&PATIENT));
+    let b = Balancer::spawn(at, &text, |_| {});
     let (_, mut watch) = discovery.watch();
     let mut client = b.client();
     client.send(&book("6", "x"));
     until("an attempt that waits for its connection", || late.waits());
-    let hosts = [host("l", late.address, 0, "DRAINING"), host("g", good.address, 0, "SERVING")];
+    and_then(&b, &text);
     let told = Instant::now();
-    watch.chunk(&(list(8, true, &hosts) + "\n"));
+    let listed = [listed(late.address), vec![host("g", good.address, 0, "SERVING")]].concat();
+    watch.chunk(&(list(8, true, &listed) + "\n"));
     assert_eq!(&client.answer().expect("an answer").body[..], b"elsewhere");
     assert!(told.elapsed() < Duration::from_secs(3), "{:?}: its own time was up", told.elapsed());
     assert!(!late.waits(), "its attempt is still on its way");
     assert_eq!(brought(&late.let_up()), "");
 }
 
+/// Guards against new work for a host that drains: its connection was on its way when the list said so.
+#[test]
+fn what_waits_for_its_connection_goes_elsewhere_once_its_host_drains() {
+    goes_elsewhere(|_, _| {}, |late| vec![host("l", late, 0, "DRAINING")]);
+}
+
+/// The same with a host that a whole list leaves out.
+#[test]
+fn what_waits_for_its_connection_goes_elsewhere_once_its_host_is_left_out() {
+    goes_elsewhere(|_, _| {}, |_| Vec::new());
+}
+
+/// The same with new settings in between: requests that were taken before hear of the list, too.
+#[test]
+fn what_was_taken_before_new_settings_hears_of_later_lists() {
+    let new_settings = |b: &Balancer, text: &str| {
+        std::fs::write(&b.config, text.replace("\"Name\":\"look\"", "\"Name\":\"view\"")).unwrap();
+        b.signal("HUP");
+        let view = look("0.3").replace("/look/", "/view/");
+        until("the new settings", || b.ask(&view).status() != 404);
+    };
+    goes_elsewhere(new_settings, |late| vec![host("l", late, 0, "DRAINING")]);
+}
+
 /// Guards against lists that are not written on one line, and against a bad value that takes a good list with it.
 #[test]
 fn lists_are_read_however_they_are_laid_out() {
@@ -202,6 +237,27 @@
     assert!(silent.elapsed() < Duration::from_secs(6), "{:?}", silent.elapsed());
 }
 
+/// Guards against a call for lists that comes too late once one before it has failed: a silent watch, then a connection
+/// that never comes up, then one that does, all in the 6 s after which what was missed counts as told.
+#[test]
+fn after_a_silent_watch_there_is_time_for_a_call_that_fails() {
+    let up = Upstream::start(|_| ok("x"));
+    let listener = narrow();
+    let (at, discovery) = (free_address(), listener.local_addr().unwrap());
+    let _b =
+        Balancer::spawn(at, &config(at, discovery, 1024, &[host("s", up.address, 0, "SERVING")]), |_| {});
+    let (mut watch, _) = listener.accept().unwrap();
+    write!(watch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n").unwrap();
+    let silent = Instant::now();
+    let late = Late::fill(listener);
+    until("a call that does not come up", || late.waits());
+    until("that call given up", || !late.waits());
+    let asked = brought(&late.let_up());
+    assert!(asked.starts_with("GET /v1/endpoints"), "{asked}");
+    // What it asks is known once nothing more has come for 0.3 s.
+    assert!(silent.elapsed() < Duration::from_millis(6300), "{:?}", silent.elapsed());
+}
+
 /// Guards against a site whose lists are pushed: nobody had asked for a watch there, and no list was ever heard of.
 #[test]
 fn pushed_lists_are_watched_from_the_start() {
@@ -301,23 +357,6 @@
     }
 }
 
-/// Guards against new work for a host that a whole list leaves out: its connection was on its way.
-#[test]
-fn what_waits_for_its_connection_goes_elsewhere_once_its_host_is_left_out() {
-    let late = Late::start();
-    let good = Upstream::start(|_| ok("elsewhere"));
-    let discovery = Discovery::start();
-    let b = start(&discovery, &[host("l", late.address, 0, "SERVING")], &settings(&PATIENT));
-    let (_, mut watch) = discovery.watch();
-    let mut client = b.client();
-    client.send(&book("6", "x"));
-    until("an attempt that waits for its connection", || late.waits());
-    let told = Instant::now();
-    watch.chunk(&(list(8, true, &[host("g", good.address, 0, "SERVING")]) + "\n"));
-    assert_eq!(&client.answer().expect("an answer").body[..], b"elsewhere");
-    assert!(told.elapsed() < Duration::from_secs(3), "{:?}: its own time was up", told.elapsed());
-}
-
 /// The settings with the second class unsafe to repeat.
 fn unsafe_book(changes: &[(&str, &str)]) -> String {
     settings(changes).replace("\"Semantics\":\"keyed\"", "\"Semantics\":\"unsafe\"")
@@ -442,3 +481,29 @@
         assert_eq!(b.ask(&look("1.2")).status(), 200);
     }
 }
+
+/// Guards against answers that never end, of a body or of interim answers: the client has its answer in time, and the
+/// process is well.
+#[test]
+fn an_answer_without_end_ends_with_its_time() {
+    for (head, more) in [("HTTP/1.1 200 OK\r\n\r\n", "x"), ("", "HTTP/1.1 102 Processing\r\n\r\n")] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.unwrap();
+                let _ = Message::read(&mut std::io::BufReader::new(stream.try_clone().unwrap()));
+                let _ = stream.write_all(head.as_bytes());
+                while stream.write_all(more.as_bytes()).is_ok() {
+                    thread::sleep(Duration::from_millis(5));
+                }
+            }
+        });
+        let discovery = Discovery::start();
+        let b = Balancer::start(&discovery, &[host("s", address, 0, "SERVING")]);
+        let asked = Instant::now();
+        assert!(matches!(b.ask(&look("0.6")).status(), 502 | 503));
+        assert!(asked.elapsed() < Duration::from_millis(1400), "{:?}", asked.elapsed());
+        assert_eq!(b.ask(READY).status(), 200);
+    }
+}
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -82,9 +82,8 @@
     clients.iter_mut().for_each(|c| c.send(&look("0.3")));
     thread::sleep(Duration::from_millis(850).saturating_sub(told.elapsed())); // past the accepting
     b.signal("CONT");
-    let lost =
-        clients.iter_mut().filter_map(|c| c.answer()).filter(|a| matches!(a.status(), 200 | 503)).count();
-    assert_eq!(lost, 60, "of 60 answered");
+    let answers = clients.iter_mut().filter_map(|c| c.answer());
+    assert_eq!(answers.filter(|a| matches!(a.status(), 200 | 503)).count(), 60, "of 60");
 }
 
 /// Guards against times of the settings before: SIGKILL comes by the new ones.
@@ -95,7 +94,7 @@
     let hosts = [host("s", up.address, 0, "SERVING")];
     let mut b = Balancer::start(&discovery, &hosts);
     let text = config(b.address, discovery.address, 1024, &hosts).replace(SETTINGS, &short());
-    std::fs::write(&b.config, text.replace("\"Name\":\"look\"", "\"Name\":\"view\"")).unwrap();
+    std::fs::write(&b.config, with_new_settings(&text)).unwrap();
     b.signal("HUP");
     until("the new settings", || b.ask(&look("0.4").replace("/look/", "/view/")).status() == 200);
     b.signal("TERM");
@@ -104,9 +103,9 @@
     assert!(told.elapsed() < Duration::from_millis(2500), "{:?}", told.elapsed());
 }
 
-/// A configuration like this one whose settings differ, so that SIGHUP brings a new instance of the module.
+/// A configuration like this one with another class, so that SIGHUP brings a new instance of the module.
 fn with_new_settings(text: &str) -> String {
-    text.replace("\"OverShareWorth\":0.05", "\"OverShareWorth\":0.06")
+    text.replace("\"Name\":\"look\"", "\"Name\":\"view\"")
 }
 
 /// Guards against new settings that forget what discovery has told: the file's list is that of an earlier time, and
@@ -129,9 +128,7 @@
     };
     until("the list", || settled(&drains));
     let before = drains.count();
-    // A list that makes sense to nobody but the new settings: their class is there once they are in force.
-    let new = with_new_settings(&text).replace("\"Name\":\"look\"", "\"Name\":\"view\"");
-    std::fs::write(&b.config, new).unwrap();
+    std::fs::write(&b.config, with_new_settings(&text)).unwrap();
     b.signal("HUP");
     let view = || b.ask(&look("1.2").replace("/look/", "/view/")).status();
     until("the new settings", || view() == 200);
@@ -165,8 +162,7 @@
     std::fs::write(&b.config, &moved).unwrap();
     b.signal("HUP");
     let (_, mut watch) = after.watch();
-    std::fs::write(&b.config, with_new_settings(&moved).replace("\"Name\":\"look\"", "\"Name\":\"view\""))
-        .unwrap();
+    std::fs::write(&b.config, with_new_settings(&moved)).unwrap();
     b.signal("HUP");
     until("the new settings", || b.ask(&look("1.2").replace("/look/", "/view/")).status() == 200);
     watch.chunk("nonsense\n");
@@ -211,3 +207,20 @@
     }
     assert!(b.wait().success());
 }
+
+/// Guards against a reset that takes the last answer along: the process does not end with it, but when its client has
+/// ended, or after a quarter of a second.
+#[test]
+fn the_exit_waits_for_the_last_clients_end() {
+    let up = Upstream::start(|_| Reply::Silence);
+    let discovery = Discovery::start();
+    let (mut b, log) = short_with_log(&discovery, 1024, &[host("s", up.address, 0, "SERVING")]);
+    let mut client = b.client();
+    let told = tell_to_end(&b, &log);
+    thread::sleep(Duration::from_millis(500).saturating_sub(told.elapsed())); // its answer comes after the accepting
+    assert!(matches!(client.ask(&look("0.5")).status(), 502 | 503));
+    let answered = Instant::now();
+    assert!(client.answer().is_none(), "the end of its sending");
+    assert!(b.wait().success());
+    assert!(answered.elapsed() >= Duration::from_millis(200), "{:?}", answered.elapsed());
+}
