Ask discovery once in a cycle, and while blind send only to servers proven by use

Change: when to ask is a state machine of its own (crates/subscription): one call in a cycle of 4 s, longer in larger fleets and after failures, at a phase of its own. While it has no watch, the module prefers servers that took a call within 5 s (what changed since then is told no sooner than 6 s later); one that declines or refuses is left alone until discovery is back. An empty line opens a watch; silence is told with its length.

--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -57,7 +57,10 @@
     /// What other instances have found out about an upstream.
     Heard(Hearsay),
     /// The watch that was asked for could not be had, or has ended.
-    WatchFailed,
+    WatchFailed {
+        /// For how long before that nothing had come on it.
+        silent: Duration,
+    },
 }
 
 /// What is to be done now.
@@ -182,7 +185,9 @@
                 let form = if list.whole { Form::Full } else { Form::Delta };
                 return self.hosts(now, form, &list);
             }
-            Report::WatchFailed => Event::List { form: Form::Failed, entries: &[] },
+            Report::WatchFailed { silent } => {
+                Event::Unwatched { since: Micros(now.0 - silent.as_micros() as i64) }
+            }
         };
         self.handle(now, event)
     }
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -6,6 +6,7 @@
 
 use crate::state::*;
 use garnettally_model::*;
+use garnettally_subscription::Subscription;
 use rustc_hash::FxHashMap;
 
 // The mechanism; times in microseconds, shares and ratios without a unit.
@@ -73,10 +74,11 @@
 // Membership.
 const SUBSET_LEAST: usize = 12; // servers sent to; else those called within this or half an idle connection's
 const SUBSET_TIME: f64 = 3e6; // life: connections stay open, and each server is heard of again soon
-const ASK_PACE: i64 = 5_000; // discovery calls of all instances at boot are this far apart
-
 const COLD_PART: f64 = 0.7; // of a peer: peers 1.4 times full, a server half as fast: twice what it can
 
+const PROOF_LASTS: Micros = Micros(5_000_000); // changes go untold for 6 s, less the wait for a connection
+const NEVER: Micros = Micros(i64::MIN / 2);
+
 const DOUBT_SHARE: usize = 6; // a list that calls more than one in so many gone is doubted, where it may be
 
 const TICK: u64 = 0; // timer token of the period; a held request's is 1
@@ -190,23 +192,19 @@
     pools: Vec<Pool>,
     chance: f64, // Drawn anew each period: a limit of 0.3 lets one call in three periods of ten
     retry_tokens: f64,
-    asked: bool, // A watch was asked for, and has not failed since
-    ask_at: Micros,
-    ask_failures: u32,
+    subscription: Option<Subscription>, // Where discovery must be asked
 }
 
 impl Balancer {
     /// A fresh instance: it knows its settings, and nothing else.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Balancer {
         let mut rng = fastrand::Rng::with_seed(seed);
-        // Discovery is asked with jitter: a call that finds the service swamped fails.
-        let jitter = (2 * PERIOD.0).max(i64::from(settings.instances) * ASK_PACE);
         Balancer {
             means: vec![None; settings.classes.len()],
             patience: vec![Micros(0); settings.classes.len()],
             quota: vec![QUOTA_LEAST; settings.tenant_quota.len()],
             sides: vec![Side::default(); settings.classes.len() + settings.tenant_quota.len() + 1],
-            ask_at: now + Micros(rng.i64(0..=jitter.min(settings.ask_within.0 / 3))),
+            subscription: Subscription::of(&settings, rng.u64(..), now),
             next_period: now,
             timer: Micros(i64::MAX),
             chance: rng.f64(),
@@ -227,12 +225,15 @@
         }
         match event {
             Event::List { form, entries } => self.news(form, entries),
+            Event::Unwatched { since } => self.unwatched(since),
             Event::Request(new) => self.admit(new, actions),
             Event::Outcome(outcome) => self.outcome(outcome, actions),
             Event::Gone(id) => self.over(id, actions),
             Event::Hearsay(heard) => self.hear(heard, actions),
             Event::Timer(_) => {}
         }
+        let ask = self.subscription.as_mut().is_some_and(|s| s.poll(self.now));
+        actions.extend(ask.then_some(Action::Watch));
         self.drain_held(actions);
         self.wake(actions);
     }
@@ -244,8 +245,8 @@
         }
         let flights = self.busy.iter().flat_map(|&i| &self.servers[i as usize].flights);
         let due = flights.filter(|f| !f.overdue).map(|f| f.overdue_at.max(self.next_period)).min();
-        let soon = !self.held.is_empty() || (self.set.must_ask && !self.asked);
-        let at = if soon { self.next_period } else { due.unwrap_or(self.timer) };
+        let at = if self.held.is_empty() { due.unwrap_or(self.timer) } else { self.next_period };
+        let at = self.subscription.as_ref().and_then(|s| s.next_timeout()).map_or(at, |ask| at.min(ask));
         if at < self.timer {
             self.timer = at;
             actions.push(Action::Timer { at, token: TICK });
@@ -460,8 +461,8 @@
             if s.news.state != Listed::Ready || !same || !allowed(&self.set.classes[r.class], &s.news) {
                 continue;
             }
-            let rank = match self.eligible(s, r.class) {
-                false => 2, // panic: nobody healthy is left
+            let rank = match self.eligible(s, r.class) && self.trusted(s) {
+                false => 2, // panic: nobody healthy, or none that is sure to stay, is left
                 true if r.attempts.iter().any(|a| a.server == s.news.server) => 1,
                 true => 0,
             };
@@ -699,11 +700,6 @@
         }
         let enough = self.members.len() + self.members.len() / 4;
         self.stale |= self.subset_size() > enough && self.members.len() < self.ring.len();
-        // Discovery: one subscription, asked for again after failures well before silence counts as told.
-        if self.set.must_ask && !self.asked && self.ask_at <= now {
-            self.asked = true;
-            actions.push(Action::Watch);
-        }
     }
 
     /// Nr, Cp and Cr. One of many callers books too little of each server's time for boards to tell. So
@@ -811,6 +807,11 @@
         let flight = s.flights.swap_remove(i);
         self.pools[s.pool].out -= 1;
         s.shut = o.code == Code::ConnectFailed;
+        s.proven = match o.code {
+            Code::Ok | Code::Error => s.proven.max(flight.sent),
+            Code::Full | Code::ConnectFailed => NEVER,
+            _ => s.proven,
+        };
         if !matches!(o.code, Code::ConnectFailed | Code::Moot | Code::Reset) {
             (s.idle, s.idle_since) = (s.idle + 1, now);
         }
@@ -932,6 +933,7 @@
     /// So many instances share the servers from now on, and this is which of them this one is.
     pub fn share(&mut self, instances: u32, me: u32) {
         (self.set.instances, self.set.me, self.stale) = (instances, me, true);
+        self.subscription.iter_mut().for_each(|s| s.set_instances(instances));
     }
 
     /// The servers, for those who tell others of them.
@@ -980,16 +982,23 @@
         }
     }
 
-    fn news(&mut self, form: Form, entries: &[ServerNews]) {
-        if form == Form::Failed {
-            self.asked = false;
-            let wait = (PERIOD.0 << self.ask_failures.min(10)).min(self.set.ask_within.0 / 4);
-            self.ask_failures += 1;
-            self.ask_at = self.now + Micros(wait / 2 + self.rng.i64(0..=wait.max(1) / 2));
-            return;
+    /// The watch is lost, or could not be had; up to `since` it would have told of every change.
+    fn unwatched(&mut self, since: Micros) {
+        if self.subscription.as_mut().is_some_and(|s| s.failed(self.now)) {
+            self.servers.iter_mut().for_each(|s| s.proven = s.proven.max(since));
         }
-        if form != Form::Cached && self.asked {
-            self.ask_failures = 0;
+    }
+
+    /// Whether it is sure not to be leaving. While nothing tells of changes, what took a call of late is; what
+    /// turned one away may be. Harm: fewer servers for as long as discovery is out of reach.
+    fn trusted(&self, s: &Server) -> bool {
+        let blind = self.subscription.as_ref().is_some_and(|s| s.is_blind(self.now));
+        !blind || self.now - s.proven < PROOF_LASTS
+    }
+
+    fn news(&mut self, form: Form, entries: &[ServerNews]) {
+        if let Some(s) = self.subscription.as_mut().filter(|_| form != Form::Cached) {
+            s.heard();
         }
         let most = entries.iter().map(|e| e.server.0 as usize + 1).max().unwrap_or(0).max(self.servers.len());
         let unknown = ServerNews { state: Listed::Gone, ..Default::default() };
@@ -1021,7 +1030,7 @@
                 s.bucket = -self.rng.f64() * self.st.cr / self.st.gain;
             }
             s.news = ServerNews { since: e.since.max(s.news.since), ..*e };
-            s.doubted = false;
+            (s.doubted, s.proven) = (false, self.now);
         }
         self.stale = true;
         self.ring.clear();
--- a/crates/serve/src/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -10,7 +10,7 @@
 use slog::{info, warn};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 struct Watch {
     number: u64,
@@ -21,6 +21,8 @@
     chunks: Option<Chunks>,
     /// What has come of a list that is not whole yet.
     text: Vec<u8>,
+    /// When a list or an empty line came last; `None`: never yet.
+    heard: Option<Instant>,
     /// It is given up then: a new list or an empty line puts that off, bytes alone don't.
     deadline: Instant,
 }
@@ -70,6 +72,16 @@
         self.watch.as_ref().is_some_and(|w| w.number == number)
     }
 
+    /// The list as it is held, where an open watch keeps it so.
+    pub fn watched(&self) -> Option<HostList> {
+        self.watch.as_ref().filter(|w| w.heard.is_some()).map(|_| self.unchanged())
+    }
+
+    /// News that nothing has changed.
+    fn unchanged(&self) -> HostList {
+        HostList { seq: self.version, whole: false, hosts: Vec::new() }
+    }
+
     /// When silence ends the watch.
     pub fn deadline(&self) -> Option<Instant> {
         self.watch.as_ref().map(|w| w.deadline)
@@ -96,9 +108,12 @@
         self.start_watch(pool);
     }
 
-    /// Asks for changes from the version held on, unless a watch is there.
+    /// Asks for changes from the version held on, unless a watch is there; then that one is told of.
     pub fn start_watch(&mut self, pool: PoolId) {
         let number = self.net.number();
+        if let Some(unchanged) = self.discovery(pool).and_then(|d| d.watched()) {
+            return self.tell_of_hosts(pool, unchanged);
+        }
         let Some((address, version)) =
             self.discovery(pool).filter(|d| d.watch.is_none()).map(|d| (d.address, d.version))
         else {
@@ -117,6 +132,7 @@
         let output =
             format!("GET /v1/endpoints?stream=1&index={version} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let deadline = Instant::now() + self.net.limits.discovery_connect;
+        info!(self.net.log, "discovery is asked"; "seq" => version);
         if let Some(discovery) = self.discovery(pool) {
             discovery.watch = Some(Watch {
                 number,
@@ -126,6 +142,7 @@
                 input: Vec::new(),
                 chunks: None,
                 text: Vec::new(),
+                heard: None,
                 deadline,
             });
         }
@@ -139,17 +156,31 @@
     }
 
     fn watch_failed(&mut self, pool: PoolId, why: &str) {
+        self.watch_silent(pool, Duration::ZERO, why);
+    }
+
+    /// The watch has failed, and for so long before that nothing had come.
+    fn watch_silent(&mut self, pool: PoolId, silent: Duration, why: &str) {
         warn!(self.net.log, "the watch on discovery failed"; "why" => why);
         self.end_watch(pool);
-        if let Some(p) = self.pools.get_mut(pool) {
-            p.queue(Report::WatchFailed, Instant::now());
+        for p in self.pools.told_by(pool) {
+            p.queue(Report::WatchFailed { silent }, Instant::now());
+        }
+    }
+
+    /// Has a pool, and those that hear with it, told of a list.
+    fn tell_of_hosts(&mut self, pool: PoolId, list: HostList) {
+        for p in self.pools.told_by(pool) {
+            p.queue(Report::Hosts(list.clone()), Instant::now());
         }
     }
 
     /// Silence: the connection may be dead without saying so.
     pub fn expire_discovery(&mut self, pool: PoolId, now: Instant) {
-        if self.discovery(pool).and_then(|d| d.deadline()).is_some_and(|at| at <= now) {
-            self.watch_failed(pool, "silence");
+        let Some(watch) = self.discovery(pool).and_then(|d| d.watch.as_ref()) else { return };
+        if watch.deadline <= now {
+            let silent = watch.heard.map_or(Duration::ZERO, |heard| now.saturating_duration_since(heard));
+            self.watch_silent(pool, silent, "silence");
         }
     }
 
@@ -218,15 +249,20 @@
             (lists, result) = take_host_lists(&mut watch.text);
             alive |= !lists.is_empty();
         }
+        let mut first = false;
         if alive {
-            watch.deadline = Instant::now() + limits.discovery_silence;
+            let now = Instant::now();
+            first = watch.heard.replace(now).is_none();
+            watch.deadline = now + limits.discovery_silence;
         }
         lists.iter().for_each(|list| discovery.take(list));
+        if first && lists.is_empty() {
+            // An empty line is an answer, too: the watch is open, and nothing has changed.
+            lists.push(discovery.unchanged());
+        }
         for list in lists {
             info!(log, "hosts"; "seq" => list.seq, "whole" => list.whole, "entries" => list.hosts.len());
-            for p in self.pools.told_by(pool) {
-                p.queue(Report::Hosts(list.clone()), Instant::now());
-            }
+            self.tell_of_hosts(pool, list);
         }
         result.map_err(|e| format!("a list makes no sense: {e}"))?;
         if done {
