--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -420,6 +420,15 @@
         }
     }
 
+    /// Ends a connection whose peer has ended its sending; whether it has.
+    pub fn end_if_hung_up(&mut self, id: ConnId) -> bool {
+        let gone = self.callers.conns.get(&id).is_some_and(|c| hung_up(&c.socket.stream));
+        if gone {
+            self.caller_left(id);
+        }
+        gone
+    }
+
     fn caller_left(&mut self, id: ConnId) {
         let Some(conn) = self.callers.conns.remove(&id) else { return };
         let state = conn.state;
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -267,6 +267,14 @@
         }
     }
 
+    /// Asks the kernel whether the client of a request has closed its connection, and ends the request if it has. After a
+    /// long turn, the close may lie behind other events that the loop has still to hand out.
+    pub fn end_if_client_left(&mut self, request: RequestId) -> bool {
+        let waiting = self.exchanges.open.get(&request).filter(|x| !x.over);
+        let Some(caller) = waiting.and_then(|x| x.caller) else { return false };
+        self.end_if_hung_up(caller)
+    }
+
     /// Whether an attempt may be written now: somebody waits for its answer, there is time, and the time in which its
     /// class lets it be repeated has not ended.
     pub fn may_write(&self, attempt: Attempt) -> bool {
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -354,6 +354,9 @@
         // It was decided on when the connection was asked for, and that may be long ago; nor can it run before its last
         // byte is written.
         let unwritten = conn.flight.as_ref().filter(|_| conn.written < conn.output.len()).map(|f| f.attempt);
+        if unwritten.is_some_and(|(request, _)| self.end_if_client_left(request)) {
+            return;
+        }
         if let Some(attempt) = unwritten.filter(|a| !self.may_write(*a)) {
             if let Some(ended) = self.upstreams.drop_unwritten(&self.net, attempt) {
                 self.attempt_ended(ended);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -2,91 +2,15 @@
 
 mod support;
 
-use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::mpsc::{channel, Receiver};
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
+use support::late::{brought, narrow, Late, PATIENT};
 use support::*;
 
-/// Connections may take longer than a SYN takes to be sent again, and nothing is called off meanwhile.
-const PATIENT: [(&str, &str); 2] = [
-    ("\"DialTimeoutUs\":250000", "\"DialTimeoutUs\":5000000"),
-    ("\"MayCancel\":true", "\"MayCancel\":false"),
-];
-
-/// An upstream whose connections come up when they are let up: until then its queue is full, and the kernel drops
-/// what comes. What is written to those that come up later is kept.
-struct Late {
-    address: SocketAddr,
-    listener: TcpListener,
-    fillers: Vec<TcpStream>,
-}
-
-/// A listener whose queue takes one connection.
-fn narrow() -> TcpListener {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-    socket.listen(0).unwrap();
-    TcpListener::from(socket)
-}
-
-impl Late {
-    fn start() -> Late {
-        Late::fill(narrow())
-    }
-
-    fn fill(listener: TcpListener) -> Late {
-        let address = listener.local_addr().unwrap();
-        let mut fillers = Vec::new();
-        // Until one more does not come up.
-        while let Ok(filler) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
-            fillers.push(filler);
-            assert!(fillers.len() < 16, "the queue never fills");
-        }
-        Late { address, listener, fillers }
-    }
-
-    /// Whether a connection waits to come up: the kernel knows it, and the listener does not.
-    fn waits(&self) -> bool {
-        let to = format!("{:08X}:{:04X}", 0x0100_007fu32, self.address.port());
-        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-        // The columns: number, local, remote, state; 02 is SYN_SENT.
-        table.lines().filter(|l| l.split_whitespace().nth(2) == Some(&*to)).any(|l| l.contains(" 02 "))
-    }
-
-    /// Lets connections come up; what the first one that is not a filler brings until it ends or falls silent.
-    fn let_up(self) -> Receiver<Vec<u8>> {
-        let (send, brought) = channel();
-        thread::spawn(move || {
-            let mine: Vec<_> = self.fillers.iter().map(|f| f.local_addr().unwrap()).collect();
-            loop {
-                let (mut stream, peer) = self.listener.accept().unwrap();
-                if mine.contains(&peer) {
-                    continue;
-                }
-                stream.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
-                let mut got = Vec::new();
-                let mut part = [0; 4096];
-                while let Ok(n @ 1..) = stream.read(&mut part) {
-                    got.extend_from_slice(&part[..n]);
-                }
-                if send.send(got).is_err() {
-                    return;
-                }
-            }
-        });
-        brought
-    }
-}
-
-/// What came to a late upstream; nothing, too, where no connection came up at all.
-fn brought(by: &Receiver<Vec<u8>>) -> String {
-    let got = by.recv_timeout(Duration::from_secs(4)).unwrap_or_default();
-    String::from_utf8_lossy(&got).into_owned()
-}
-
 /// Guards against work for nobody where the settings don't allow attempts to be cancelled: the client has left while
 /// the connection was on its way, and the request was written when it came up.
 #[test]
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! The real program as a process, and the parties it talks to: upstreams, discovery and clients.
 #![allow(dead_code)] // each test program uses its part
 
+pub mod late;
+
 use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
