Read ahead while a request waits, so that a close behind many bytes is seen

Seen: a client sends a request, then 250 kB more, and closes; its first attempt fails 150 ms later, and a further one was begun for it (three attempts in all, one allowed). Checked: behind 100 kB the close was seen, so the module and `client_gone` are right. The kernel puts no end before bytes that the receiving socket has no room for, so neither EPOLLRDHUP nor the poll in `hung_up` tells of it. At fault: `caller_ready` in crates/serve/src/callers.rs reads no more than `read_bytes` (16 kB) behind a request that waits.

Change: while a request waits, up to 1 MB (`Limits::caller_ahead_bytes`) is read ahead into a queue of its own, which the input is filled from, in order, before the socket is read; all of it counts in `Limits::caller_bytes`, past which nothing more is read ahead. Behind still more bytes the close is not seen.

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -52,6 +52,9 @@
     pub caller_discard: usize,
     /// What caller connections may hold of unfinished requests together.
     pub caller_bytes: usize,
+    /// And so much one may have read ahead behind a request that waits for its answer: the end of a client that sends
+    /// much and goes lies behind its bytes.
+    pub caller_ahead_bytes: usize,
     /// How long opening a connection to an upstream may take.
     pub upstream_connect: Duration,
     /// An upstream connection between requests is kept so long.
@@ -199,6 +202,7 @@
             caller_linger: Duration::from_secs(2),
             caller_discard: 256 << 10,
             caller_bytes: (basis.memory_mb << 20) / 8,
+            caller_ahead_bytes: 1 << 20,
             upstream_connect: basis.upstream_connect,
             upstream_idle: basis.upstream_idle,
             upstream_idle_least: Duration::from_millis(50),
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -15,7 +15,7 @@
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, ErrorKind};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -40,6 +40,8 @@
     socket: Watched,
     state: State,
     input: Vec<u8>,
+    /// What has come behind the input while a request waits. It is read so that the end behind it is seen.
+    ahead: VecDeque<u8>,
     output: Vec<u8>,
     written: usize,
     close: bool,
@@ -180,7 +182,7 @@
         let mut held: BTreeMap<ListenerId, (Share, usize)> =
             self.listeners.iter().map(|(&id, l)| (id, (l.memory, 0))).collect();
         for c in self.conns.values() {
-            held.entry(c.listener).or_default().1 += c.input.len();
+            held.entry(c.listener).or_default().1 += c.input.len() + c.ahead.len();
         }
         let at = held.keys().position(|&l| l == id).unwrap_or(usize::MAX);
         exceeds(capacity, &held.into_values().collect::<Vec<_>>(), at)
@@ -230,7 +232,26 @@
 
 impl Conn {
     fn idle(&self) -> bool {
-        self.state == State::Reading && self.input.is_empty() && self.written == self.output.len()
+        self.state == State::Reading && !self.has_input() && self.written == self.output.len()
+    }
+
+    /// Whether bytes were read that are not taken yet.
+    fn has_input(&self) -> bool {
+        !self.input.is_empty() || !self.ahead.is_empty()
+    }
+
+    /// Moves what was read ahead to the input, until that holds more than `most`.
+    fn refill(&mut self, most: usize) {
+        let room = (most + 1).saturating_sub(self.input.len()).min(self.ahead.len());
+        self.input.extend(self.ahead.drain(..room));
+        if self.ahead.is_empty() {
+            self.ahead = VecDeque::new();
+        }
+    }
+
+    /// Forgets what was read and not taken.
+    fn drop_input(&mut self) {
+        (self.input, self.ahead) = (Vec::new(), VecDeque::new());
     }
 }
 
@@ -292,6 +313,7 @@
                 socket,
                 state: State::Reading,
                 input: Vec::new(),
+                ahead: VecDeque::new(),
                 output: Vec::new(),
                 written: 0,
                 close: false,
@@ -367,7 +389,15 @@
             (limits.read_bytes, limits.caller_bytes, limits.caller_discard);
         let most = if conn.state == State::Reading { limits.message_bytes } else { read_bytes };
         let (was_idle, listener) = (conn.idle(), conn.listener);
-        let mut reading = self.net.read(&conn.socket.stream, &mut conn.input, most);
+        if conn.state == State::Lingering {
+            conn.ahead = VecDeque::new();
+        }
+        conn.refill(most);
+        // Bytes that were read ahead come before those in the socket.
+        let mut reading = match conn.ahead.is_empty() {
+            true => self.net.read(&conn.socket.stream, &mut conn.input, most),
+            false => Reading::Open,
+        };
         let mut discarded = 0;
         while conn.state == State::Lingering && !conn.input.is_empty() {
             discarded += conn.input.len();
@@ -398,14 +428,36 @@
         // What still lies in the socket has told of itself, and does not do so again: neither do the bytes, if the
         // requests before them have been answered, nor the end behind them, if one waits.
         match self.callers.conns.get(&id) {
-            Some(c) if matches!(c.state, State::Waiting(_)) && hung_up(&c.socket.stream) => {
-                self.caller_left(id)
-            }
+            Some(c) if matches!(c.state, State::Waiting(_)) => self.look_for_the_end(id),
             Some(c) if c.state == State::Reading && c.input.len() <= most => self.callers.unread.push(id),
             _ => {}
         }
     }
 
+    /// Finds out whether a client has closed its connection behind bytes that are not taken, as its request waits: the
+    /// kernel knows of no end that lies behind more than a socket holds, so bytes are read ahead.
+    fn look_for_the_end(&mut self, id: ConnId) {
+        if self.end_if_hung_up(id) || self.read_ahead(id) == Reading::Open {
+            return;
+        }
+        self.caller_left(id);
+    }
+
+    /// Reads what lies behind the input, as far as the limits allow.
+    fn read_ahead(&mut self, id: ConnId) -> Reading {
+        let (most, together) = (self.net.limits.caller_ahead_bytes, self.net.limits.caller_bytes);
+        let Some(conn) = self.callers.conns.get(&id) else { return Reading::Open };
+        let room = most.saturating_sub(conn.ahead.len());
+        if room == 0 || self.callers.hold_too_much(conn.listener, together) {
+            return Reading::Open;
+        }
+        let Some(conn) = self.callers.conns.get_mut(&id) else { return Reading::Open };
+        let mut bytes = Vec::new();
+        let reading = self.net.read(&conn.socket.stream, &mut bytes, room);
+        conn.ahead.extend(bytes);
+        reading
+    }
+
     /// Goes on with what could not be read or thrown away in one turn.
     pub fn resume_reading(&mut self) {
         for id in std::mem::take(&mut self.callers.unread) {
@@ -415,7 +467,9 @@
 
     /// All callers together hold too much: this one, which holds much, gives it up, if it is not whole.
     fn reject_unfinished(&mut self, id: ConnId) {
-        if self.callers.conns.get(&id).is_some_and(|c| c.state == State::Reading && !c.input.is_empty()) {
+        // What lies ahead may make it whole.
+        let unfinished = |c: &Conn| c.state == State::Reading && !c.input.is_empty() && c.ahead.is_empty();
+        if self.callers.conns.get(&id).is_some_and(unfinished) {
             self.reject_caller(id, Bad(413));
         }
     }
@@ -487,7 +541,7 @@
         debug!(self.net.log, "a request was not understood"; "status" => status);
         if let Some(conn) = self.callers.conns.get_mut(&id) {
             conn.close = true;
-            conn.input = Vec::new();
+            conn.drop_input();
         }
         self.write_answer(id, &Outgoing { status, ..Outgoing::default() });
     }
@@ -513,7 +567,7 @@
             Final::Refused { retry_after } => self.write_refusal(id, retry_after),
         }
         // It may have sent the next one meanwhile.
-        if self.callers.conns.get(&id).is_some_and(|c| !c.input.is_empty()) {
+        if self.callers.conns.get(&id).is_some_and(Conn::has_input) {
             self.caller_ready(id);
         }
     }
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -297,6 +297,68 @@
     }
 }
 
+/// What the clients below send behind their request: as much as the kernel takes at once, and some times that.
+const MUCH: [usize; 3] = [100_000, 250_000, 500_000];
+
+/// Guards against a close that the kernel can't tell, as it lies behind more bytes than a socket holds: those are read
+/// on while a request waits.
+#[test]
+fn a_close_behind_many_bytes_is_seen() {
+    for much in MUCH {
+        let go = Arc::new(Mutex::new(()));
+        let held = go.lock().unwrap();
+        let hand = go.clone();
+        let up = Witness::start(move |_| {
+            drop(hand.lock());
+            error(503, "Srv-Declined: 1\r\n")
+        });
+        let discovery = Discovery::start();
+        let hosts = [host("s", up.address, 0, "SERVING"), host("t", up.address, 0, "SERVING")];
+        let b = start(&discovery, &hosts, &settings(&[KEPT]));
+        let mut client = b.client();
+        client.send(&book("6", "x"));
+        until("the first attempt", || up.count() == 1);
+        // Its kernel holds what the balancer's does not take.
+        socket2::SockRef::from(&client.stream).set_send_buffer_size(2 * much).unwrap();
+        client.send(&"x".repeat(much));
+        drop(client);
+        thread::sleep(WELL_PAST);
+        drop(held);
+        thread::sleep(2 * WELL_PAST);
+        assert_eq!(up.count(), 1, "begun for a client that had left behind {much} bytes");
+    }
+}
+
+/// Guards against bytes that are read ahead and then lost, or taken in another order: the client stays.
+#[test]
+fn what_is_read_ahead_is_answered_in_its_order() {
+    const REQUESTS: usize = 100;
+    let hold = Arc::new(Mutex::new(()));
+    let held = hold.lock().unwrap();
+    let hand = hold.clone();
+    // Each answer is the id of its request.
+    let up = Witness::start(move |m| {
+        drop(hand.lock());
+        ok(m.header("req-id").unwrap())
+    });
+    let discovery = Discovery::start();
+    let b = Balancer::start(&discovery, &[host("s", up.address, 0, "SERVING")]);
+    let pad = format!("\r\nX-Pad: {}\r\n\r\n", "p".repeat(8_000));
+    let requests: Vec<_> = (0..REQUESTS).map(|_| book("6", "").replace("\r\n\r\n", &pad)).collect();
+    let mut client = b.client();
+    let mut sending = client.stream.try_clone().unwrap();
+    let all = requests.concat();
+    let sent = thread::spawn(move || sending.write_all(all.as_bytes()));
+    until("the first attempt", || up.count() == 1);
+    thread::sleep(WELL_PAST); // much is read ahead meanwhile
+    drop(held);
+    for request in &requests {
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status(), answer.body), (200, id_of(request).into_bytes()));
+    }
+    sent.join().unwrap().expect("all was taken");
+}
+
 /// Clients of the measured run, and how many requests each of them sends.
 const CLIENTS: usize = 24;
 const REQUESTS: usize = 40;
