Read ahead of a waiting request only where the kernel holds unread bytes

Asking whether all connections together hold too much walks them all, and was done for each request; now only where a peek shows unread bytes, which is rare.

--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -437,10 +437,13 @@
     /// Finds out whether a client has closed its connection behind bytes that are not taken, as its request waits: the
     /// kernel knows of no end that lies behind more than a socket holds, so bytes are read ahead.
     fn look_for_the_end(&mut self, id: ConnId) {
-        if self.end_if_hung_up(id) || self.read_ahead(id) == Reading::Open {
-            return;
+        let Some(conn) = self.callers.conns.get(&id) else { return };
+        match peer(&conn.socket.stream) {
+            Peer::Quiet => {}
+            Peer::Closed => self.caller_left(id),
+            Peer::Unread if self.read_ahead(id) == Reading::Open => {}
+            Peer::Unread => self.caller_left(id),
         }
-        self.caller_left(id);
     }
 
     /// Reads what lies behind the input, as far as the limits allow.
@@ -476,7 +479,7 @@
 
     /// Ends a connection whose peer has ended its sending; whether it has.
     pub fn end_if_hung_up(&mut self, id: ConnId) -> bool {
-        let gone = self.callers.conns.get(&id).is_some_and(|c| hung_up(&c.socket.stream));
+        let gone = self.callers.conns.get(&id).is_some_and(|c| peer(&c.socket.stream) == Peer::Closed);
         if gone {
             self.caller_left(id);
         }
@@ -679,16 +682,28 @@
     }
 }
 
-/// Whether the peer has ended its sending, also where unread bytes lie before that end.
-fn hung_up(stream: &TcpStream) -> bool {
+/// What the kernel knows of a peer.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Peer {
+    /// It may send more, and nothing of it is unread.
+    Quiet,
+    /// It may send more, and bytes of it are unread.
+    Unread,
+    /// It has ended its sending, also where unread bytes lie before that end.
+    Closed,
+}
+
+fn peer(stream: &TcpStream) -> Peer {
     match stream.peek(&mut [0]) {
-        Ok(0) => true,
-        Ok(_) => hung_up_behind_bytes(stream),
-        Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        Ok(0) => Peer::Closed,
+        Ok(_) if hung_up_behind_bytes(stream) => Peer::Closed,
+        Ok(_) => Peer::Unread,
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => Peer::Quiet,
+        Err(_) => Peer::Closed,
     }
 }
 
-/// The same where bytes are unread.
+/// Whether the peer has ended its sending behind unread bytes.
 fn hung_up_behind_bytes(stream: &TcpStream) -> bool {
     let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
     let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
