Repeat a call that never reached discovery sooner than one that was refused

Change: the network code tells whether the call was sent; two that were not are repeated after a short pause that doubles.

--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -60,6 +60,8 @@
     WatchFailed {
         /// For how long before that nothing had come on it.
         silent: Duration,
+        /// Its call had been sent.
+        reached: bool,
     },
 }
 
@@ -185,8 +187,8 @@
                 let form = if list.whole { Form::Full } else { Form::Delta };
                 return self.hosts(now, form, &list);
             }
-            Report::WatchFailed { silent } => {
-                Event::Unwatched { since: Micros(now.0 - silent.as_micros() as i64) }
+            Report::WatchFailed { silent, reached } => {
+                Event::Unwatched { since: Micros(now.0 - silent.as_micros() as i64), reached }
             }
         };
         self.handle(now, event)
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -353,7 +353,7 @@
     t.acts.clear();
     for failure in 0..3 {
         let since = t.now;
-        t.tell(Event::Unwatched { since });
+        t.tell(Event::Unwatched { since, reached: true });
         // Others wait for the same service: not at once, and again before what it has to tell binds, 6 s later.
         t.periods(10);
         assert_eq!(watches(&t), failure);
@@ -364,7 +364,7 @@
     t.tell(Event::List { form: Form::Delta, entries: &[] });
     // A watch that was open and ends is asked for again within a second.
     let since = t.now;
-    t.tell(Event::Unwatched { since });
+    t.tell(Event::Unwatched { since, reached: true });
     t.periods(5);
     assert_eq!(watches(&t), 1);
     t.acts.clear();
@@ -382,7 +382,7 @@
     t.periods(3);
     t.tell(Event::List { form: Form::Delta, entries: &[] });
     let since = t.now;
-    t.tell(Event::Unwatched { since });
+    t.tell(Event::Unwatched { since, reached: true });
     // Servers 0 and 1 turn calls away, 2 and 3 take them, and 4 and 5 are not heard of.
     let mut proven = Vec::new();
     for id in 0..400 {
@@ -403,7 +403,7 @@
         t.periods(1);
         if id == failures * 15 {
             let since = t.now;
-            t.tell(Event::Unwatched { since });
+            t.tell(Event::Unwatched { since, reached: true });
         }
     }
     assert!(!proven.is_empty() && proven.iter().all(|&s| s >= 2), "{proven:?}");
--- a/crates/decisions/tests/four_rules.rs
+++ b/crates/decisions/tests/four_rules.rs
@@ -202,7 +202,8 @@
         else {
             if self.watch {
                 let since = self.now - Micros(self.rng.i64(0..5_000_000));
-                self.tell(Event::Unwatched { since });
+                let reached = self.rng.bool();
+                self.tell(Event::Unwatched { since, reached });
             }
             return;
         };
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -367,6 +367,8 @@
     Unwatched {
         /// Up to then, what it had to tell has come.
         since: Micros,
+        /// The call had reached discovery, and cost it time.
+        reached: bool,
     },
     /// A request came in.
     Request(NewRequest),
--- a/crates/serve/src/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -162,9 +162,10 @@
     /// The watch has failed, and for so long before that nothing had come.
     fn watch_silent(&mut self, pool: PoolId, silent: Duration, why: &str) {
         warn!(self.net.log, "the watch on discovery failed"; "why" => why);
+        let reached = self.discovery(pool).and_then(|d| d.watch.as_ref()).is_some_and(|w| w.written > 0);
         self.end_watch(pool);
         for p in self.pools.told_by(pool) {
-            p.queue(Report::WatchFailed { silent }, Instant::now());
+            p.queue(Report::WatchFailed { silent, reached }, Instant::now());
         }
     }
 
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -22,6 +22,9 @@
 /// A watch that is lost, and the first one, are asked for within this and the calls of all instances.
 const FIRST_SPREAD: Micros = Micros(400_000);
 
+/// So many calls that never reached the registry are repeated after a short pause, which doubles; then it is down.
+const UNREACHED_MOST: u32 = 2;
+
 /// The shortest pause after a failure.
 const PAUSE_LEAST: Micros = Micros(100_000);
 
@@ -75,6 +78,8 @@
     /// Length of a cycle, in first cycles; 1 or more.
     stretch: f64,
     failures: u32,
+    /// Calls since the last success that never reached the registry, as far as they were repeated soon.
+    unreached: u32,
     /// Since when there has been no watch, where there is none.
     without_since: Micros,
 }
@@ -94,8 +99,15 @@
     pub fn new(registry: Registry, seed: u64, now: Micros) -> Subscription {
         let state = State::Waiting { until: now };
         let random = fastrand::Rng::with_seed(seed);
-        let mut subscription =
-            Subscription { registry, random, state, stretch: 1.0, failures: 0, without_since: now };
+        let mut subscription = Subscription {
+            registry,
+            random,
+            state,
+            stretch: 1.0,
+            failures: 0,
+            unreached: 0,
+            without_since: now,
+        };
         subscription.wait_for_first(now);
         subscription
     }
@@ -124,16 +136,17 @@
             return;
         }
         self.state = State::Open;
-        self.failures = 0;
+        (self.failures, self.unreached) = (0, 0);
         self.stretch = (self.stretch * STRETCH_KEPT).max(1.0);
     }
 
-    /// The call has failed, or the watch has ended; returns whether a watch was open until now.
-    pub fn failed(&mut self, now: Micros) -> bool {
+    /// The call has failed, or the watch has ended; returns whether a watch was open until now. A call that never
+    /// reached the registry has cost it nothing.
+    pub fn failed(&mut self, now: Micros, reached: bool) -> bool {
         let was_open = self.is_open();
         match self.state {
             State::Waiting { .. } => {}
-            State::Asked { at } => self.wait_for_next(at, now),
+            State::Asked { at } => self.wait_for_next(at, now, reached),
             State::Open => {
                 self.without_since = now;
                 self.wait_for_first(now);
@@ -176,12 +189,17 @@
         self.state = State::Waiting { until: now + Micros(self.random.i64(0..=spread)) };
     }
 
-    /// A call one cycle after the one that failed.
-    fn wait_for_next(&mut self, asked: Micros, now: Micros) {
+    /// A call one cycle after the one that failed; sooner at first, where that one did not reach the registry.
+    fn wait_for_next(&mut self, asked: Micros, now: Micros, reached: bool) {
+        let pause = Micros(PAUSE_LEAST.0 + self.random.i64(0..=PAUSE_LEAST.0));
+        if !reached && self.unreached < UNREACHED_MOST {
+            self.unreached += 1;
+            self.state = State::Waiting { until: now + Micros(pause.0 << self.unreached) };
+            return;
+        }
         self.failures = self.failures.saturating_add(1);
         let growth = if self.failures <= PATIENT_FAILURES { GROWTH_PATIENT } else { GROWTH };
         self.stretch = (self.stretch * growth).min(STRETCH_MOST);
-        let pause = Micros(PAUSE_LEAST.0 + self.random.i64(0..=PAUSE_LEAST.0));
         let next = match self.registry {
             Registry::Own => now,
             Registry::Shared { .. } => asked + self.jittered_cycle(),
--- a/crates/subscription/tests/pace.rs
+++ b/crates/subscription/tests/pace.rs
@@ -48,10 +48,10 @@
         let mut subscription = shared(10, 3);
         let mut asked = next_ask(&mut subscription);
         for _ in 0..3 {
-            subscription.failed(asked + Micros(wait));
+            subscription.failed(asked + Micros(wait), true);
             // More failures of the same call change nothing.
             let next = subscription.next_timeout();
-            subscription.failed(asked + Micros(wait));
+            subscription.failed(asked + Micros(wait), true);
             assert_eq!(subscription.next_timeout(), next);
             let again = next_ask(&mut subscription);
             let cycle = (again - asked).0;
@@ -66,7 +66,7 @@
     let mut subscription = shared(10, 3);
     let asked = next_ask(&mut subscription);
     let failed = asked + Micros(20 * SECOND);
-    subscription.failed(failed);
+    subscription.failed(failed, true);
     let pause = (next_ask(&mut subscription) - failed).0;
     assert!((SECOND / 10..=SECOND / 5).contains(&pause), "{pause}");
 }
@@ -77,7 +77,7 @@
     let mut asked = next_ask(&mut subscription);
     let mut cycles = Vec::new();
     for _ in 0..20 {
-        subscription.failed(asked);
+        subscription.failed(asked, true);
         let again = next_ask(&mut subscription);
         cycles.push((again - asked).0);
         asked = again;
@@ -86,10 +86,10 @@
     assert!((25 * SECOND..=39 * SECOND).contains(&last), "{cycles:?}");
     for _ in 0..10 {
         subscription.heard();
-        subscription.failed(asked);
+        subscription.failed(asked, true);
         asked = next_ask(&mut subscription);
     }
-    subscription.failed(asked);
+    subscription.failed(asked, true);
     let cycle = (next_ask(&mut subscription) - asked).0;
     assert!(cycle <= 6 * SECOND, "{cycle}");
 }
@@ -99,14 +99,14 @@
     let cycle = |instances| {
         let mut subscription = shared(instances, 9);
         let asked = next_ask(&mut subscription);
-        subscription.failed(asked);
+        subscription.failed(asked, true);
         (next_ask(&mut subscription) - asked).0
     };
     assert!(cycle(1_000) > 12 * SECOND, "{}", cycle(1_000));
     let mut subscription = shared(1, 9);
     subscription.set_instances(1_000);
     let asked = next_ask(&mut subscription);
-    subscription.failed(asked);
+    subscription.failed(asked, true);
     assert!((next_ask(&mut subscription) - asked).0 > 12 * SECOND);
 }
 
@@ -115,10 +115,10 @@
     let mut subscription = Subscription::new(Registry::Own, 1, Micros(0));
     let asked = next_ask(&mut subscription);
     assert_eq!(asked, Micros(0));
-    subscription.failed(Micros(SECOND));
+    subscription.failed(Micros(SECOND), true);
     assert!((next_ask(&mut subscription).0 - SECOND) <= SECOND / 5);
     subscription.heard();
-    assert!(subscription.failed(Micros(2 * SECOND)));
+    assert!(subscription.failed(Micros(2 * SECOND), true));
     assert_eq!(next_ask(&mut subscription), Micros(2 * SECOND));
 }
 
@@ -129,11 +129,25 @@
     next_ask(&mut subscription);
     subscription.heard();
     assert!(!subscription.is_blind(Micros(0)));
-    assert!(subscription.failed(Micros(SECOND)), "a watch was open");
-    assert!(!subscription.failed(Micros(SECOND)), "none was");
+    assert!(subscription.failed(Micros(SECOND), true), "a watch was open");
+    assert!(!subscription.failed(Micros(SECOND), true), "none was");
     assert!(subscription.is_blind(Micros(2 * SECOND)));
     assert!(!subscription.is_blind(Micros(62 * SECOND)));
     // A watch that somebody else opened counts as well.
     subscription.heard();
     assert!(subscription.is_open() && subscription.next_timeout().is_none());
 }
+
+#[test]
+fn a_call_that_never_reached_the_registry_is_soon_repeated_but_not_for_ever() {
+    let mut subscription = shared(300, 4);
+    let mut asked = next_ask(&mut subscription);
+    for _ in 0..2 {
+        subscription.failed(asked + Micros(SECOND), false);
+        let again = next_ask(&mut subscription);
+        assert!((again - asked).0 <= 2 * SECOND, "{asked:?} {again:?}");
+        asked = again;
+    }
+    subscription.failed(asked, false);
+    assert!((next_ask(&mut subscription) - asked).0 >= 3 * SECOND);
+}
