Believe the word of a death only after the accused could refute it

Cause: a member cut off for about the suspicion says its suspicions to links that are closed. After the cut nobody is told of them, so nobody refutes, its timer declares the others down, and all that it comes back to took that word at once: Down ends an identity in SWIM, whatever incarnation.

Change: the word of another that a member is down counts once that member has been under suspicion here for half the suspicion; before that it is taken for a suspicion. Whoever's probe failed, whoever heard such a word and three more by rendezvous hash ask the suspect with a ping that carries the suspicion, so that it refutes (as Lifeguard's buddy system). Who leaves says so under the last incarnation and is believed at once. A standstill is no part of the window.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -10,6 +10,7 @@
 mod identity;
 mod letters;
 mod seal;
+mod suspicion;
 mod swim;
 
 pub use facts::{Fact, KEY_MOST, VALUE_MOST};
--- a/crates/peers/src/swim.rs
+++ b/crates/peers/src/swim.rs
@@ -2,10 +2,12 @@
 
 use crate::identity::Identity;
 use crate::seal::BODY_MOST;
-use crate::{Event, Settings};
+use crate::suspicion::{Step, Suspect, Suspicions, LEFT};
+use crate::{rendezvous, Event, Settings};
+use bytes::BufMut;
 use foca::{
-    Codec, Config, Foca, Member, NoCustomBroadcast, Notification, PeriodicParams, PostcardCodec, Runtime,
-    Timer,
+    Codec, Config, Foca, Header, Incarnation, Member, Message, NoCustomBroadcast, Notification,
+    PeriodicParams, PostcardCodec, Runtime, State, Timer,
 };
 use garnettally_model::Micros;
 use rand::Rng;
@@ -23,12 +25,44 @@
 const ASKED_ANEW: usize = 5;
 /// Members that are asked to probe in one's stead.
 const INDIRECT: usize = 3;
+/// Of the members that merely heard of a suspicion so many ask the suspect.
+const ASKERS: usize = 3;
+/// The number of a ping whose answer is wanted for the incarnation in it, whichever probe is under way.
+const UNNUMBERED: u8 = 0;
+
+/// What is held beside `foca`, by what passes through its codec.
+struct Beside {
+    /// Addresses that were heard of.
+    known: HashSet<SocketAddr>,
+    suspicions: Suspicions,
+    /// What this member called itself last.
+    own: Option<Suspect>,
+    /// It is about to say that it leaves.
+    leaves: bool,
+}
+
+impl Beside {
+    /// Whether the word that the member there is down is weighed: of one that is not known here there is nothing to
+    /// lose, and of its own death a member is to hear at once, so that it joins anew.
+    fn weighs(&self, address: SocketAddr) -> bool {
+        let own = self.own.as_ref().is_some_and(|own| own.identity.address == address);
+        self.known.contains(&address) && !own
+    }
+
+    fn note_own(&mut self, identity: &Identity, incarnation: Incarnation) {
+        let same = |own: &Suspect| own.incarnation == incarnation && own.identity == *identity;
+        if !self.own.as_ref().is_some_and(same) {
+            self.own = Some(Suspect { identity: identity.clone(), incarnation });
+        }
+    }
+}
 
-/// What peers say is checked before `foca` takes it, and what it may grow to is bounded.
+/// What peers say is checked and weighed before `foca` takes it, and what it may grow to is bounded.
+#[derive(Clone)]
 struct Checked {
     inner: PostcardCodec,
     loopback_only: bool,
-    known: Rc<RefCell<HashSet<SocketAddr>>>,
+    beside: Rc<RefCell<Beside>>,
     most: usize,
 }
 
@@ -48,7 +82,7 @@
         if !id.is_sound(self.loopback_only) {
             return Err(Unsound("an identity with a name or address that is not allowed"));
         }
-        let mut known = self.known.borrow_mut();
+        let known = &mut self.beside.borrow_mut().known;
         if known.len() >= self.most && !known.contains(&id.address) {
             return Err(Unsound("more members than may be"));
         }
@@ -60,30 +94,33 @@
 impl Codec<Identity> for Checked {
     type Error = Unsound;
 
-    fn encode_header(
-        &mut self,
-        header: &foca::Header<Identity>,
-        buf: impl bytes::BufMut,
-    ) -> Result<(), Unsound> {
+    fn encode_header(&mut self, header: &Header<Identity>, buf: impl BufMut) -> Result<(), Unsound> {
+        self.beside.borrow_mut().note_own(&header.src, header.src_incarnation);
         self.inner.encode_header(header, buf).map_err(|_| Unsound("can't be encoded"))
     }
 
-    fn decode_header(&mut self, buf: impl bytes::Buf) -> Result<foca::Header<Identity>, Unsound> {
-        let header: foca::Header<Identity> =
+    fn decode_header(&mut self, buf: impl bytes::Buf) -> Result<Header<Identity>, Unsound> {
+        let header: Header<Identity> =
             self.inner.decode_header(buf).map_err(|_| Unsound("can't be decoded"))?;
         self.check(&header.src)?;
         Ok(header)
     }
 
-    fn encode_member(&mut self, member: &Member<Identity>, buf: impl bytes::BufMut) -> Result<(), Unsound> {
-        self.inner.encode_member(member, buf).map_err(|_| Unsound("can't be encoded"))
+    fn encode_member(&mut self, member: &Member<Identity>, buf: impl BufMut) -> Result<(), Unsound> {
+        let encoded = if self.beside.borrow().leaves && member.state() == State::Down {
+            self.inner.encode_member(&Member::new(member.id().clone(), LEFT, State::Down), buf)
+        } else {
+            self.inner.encode_member(member, buf)
+        };
+        encoded.map_err(|_| Unsound("can't be encoded"))
     }
 
     fn decode_member(&mut self, buf: impl bytes::Buf) -> Result<Member<Identity>, Unsound> {
         let member: Member<Identity> =
             self.inner.decode_member(buf).map_err(|_| Unsound("can't be decoded"))?;
+        let weighed = self.beside.borrow().weighs(member.id().address);
         self.check(member.id())?;
-        Ok(member)
+        Ok(if weighed { self.beside.borrow_mut().suspicions.weigh(member) } else { member })
     }
 }
 
@@ -100,6 +137,8 @@
     away: u32,
     /// It was declared dead, and is to begin anew.
     rejoined: bool,
+    /// Who failed a probe of this member.
+    suspects: Vec<Suspect>,
 }
 
 impl Runtime<Identity> for &mut Wishes {
@@ -123,6 +162,9 @@
     }
 
     fn submit_after(&mut self, event: Timer<Identity>, after: Duration) {
+        if let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = &event {
+            self.suspects.push(Suspect { identity: member_id.clone(), incarnation: *incarnation });
+        }
         self.next += 1;
         self.timers.insert((self.now + micros(after), self.next), event);
     }
@@ -137,10 +179,9 @@
     foca: Foca<Identity, Checked, ChaCha8Rng, NoCustomBroadcast>,
     wishes: Wishes,
     config: Config,
-    loopback_only: bool,
-    most: usize,
+    codec: Checked,
     rng: ChaCha8Rng,
-    known: Rc<RefCell<HashSet<SocketAddr>>>,
+    beside: Rc<RefCell<Beside>>,
     /// Time-outs that are later than this come from a process that stood still.
     still: Micros,
     /// How often this process stood still, as far as it noticed.
@@ -149,9 +190,14 @@
 
 impl Swim {
     pub fn new(me: Identity, s: &Settings, loopback_only: bool, rng: ChaCha8Rng, now: Micros) -> Swim {
-        let known = Rc::new(RefCell::new(HashSet::new()));
+        let beside = Rc::new(RefCell::new(Beside {
+            known: HashSet::new(),
+            suspicions: Suspicions::new(micros(s.suspicion / 2), micros(s.probe_period / 3)),
+            own: None,
+            leaves: false,
+        }));
         let codec =
-            Checked { inner: PostcardCodec, loopback_only, known: known.clone(), most: s.members_most };
+            Checked { inner: PostcardCodec, loopback_only, beside: beside.clone(), most: s.members_most };
         let every = |frequency, n| {
             Some(PeriodicParams { frequency, num_members: NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN) })
         };
@@ -169,10 +215,10 @@
             periodic_announce_to_down_members: every(s.probe_period * 2, 2),
             periodic_gossip: every(s.probe_period / 4, 3),
         };
-        let foca = Foca::new(me, config.clone(), rng.clone(), codec);
+        let foca = Foca::new(me, config.clone(), rng.clone(), codec.clone());
         let wishes = Wishes { now, ..Wishes::default() };
-        let (still, most) = (micros(s.probe_period / 3), s.members_most);
-        Swim { foca, wishes, config, loopback_only, most, rng, known, still, stalls: 0 }
+        let still = micros(s.probe_period / 3);
+        Swim { foca, wishes, config, codec, rng, beside, still, stalls: 0 }
     }
 
     pub fn me(&self) -> &Identity {
@@ -185,26 +231,76 @@
 
     /// Takes a body of a peer's. `false`: it can't be taken.
     pub fn take(&mut self, now: Micros, body: &[u8]) -> bool {
+        // It may have stood still, and hear of it before its own timers come to it.
+        self.note_standstill(now);
         self.wishes.now = now;
+        self.beside.borrow_mut().suspicions.set_now(now);
         let taken = self.foca.handle_data(body, &mut self.wishes).is_ok();
         if std::mem::take(&mut self.wishes.rejoined) {
             self.begin_anew(now);
         }
+        self.pursue();
         taken
     }
 
+    /// Keeps up with who is suspected, and asks or gives up who is due.
+    fn pursue(&mut self) {
+        let found = std::mem::take(&mut self.wishes.suspects);
+        let (me, foca) = (self.me().boot, &self.foca);
+        let suspects = foca.iter_membership_state().filter(|m| m.state() == State::Suspect);
+        let chosen = |suspect: &Identity| {
+            let own = rendezvous(suspect.boot, me);
+            let others = foca.iter_members().filter(|m| m.id() != suspect);
+            others.filter(|m| rendezvous(suspect.boot, m.id().boot) < own).take(ASKERS).count() < ASKERS
+        };
+        let mut beside = self.beside.borrow_mut();
+        beside.suspicions.review(suspects, &found, chosen);
+        let steps = beside.suspicions.due();
+        drop(beside);
+        for step in steps {
+            match step {
+                Step::Ask { suspect, accused } => self.ask(suspect, accused),
+                Step::Confirm(suspect) => {
+                    let down = std::iter::once(suspect.as_member(State::Down));
+                    let _ = self.foca.apply_many(down, true, &mut self.wishes);
+                }
+            }
+        }
+    }
+
+    /// Asks a suspect, and tells it of the suspicion: the answer is under a later incarnation, which refutes it.
+    fn ask(&mut self, suspect: Suspect, accused: bool) {
+        let address = suspect.identity.address;
+        let own = self.beside.borrow().own.clone().filter(|own| own.identity == *self.me());
+        let header = Header {
+            src: self.me().clone(),
+            src_incarnation: own.map_or(Incarnation::default(), |own| own.incarnation),
+            dst: suspect.identity.clone(),
+            message: Message::Ping(UNNUMBERED),
+        };
+        let mut body = Vec::new();
+        let encoded = self.codec.encode_header(&header, &mut body).and_then(|()| {
+            body.put_u16(1);
+            self.codec.encode_member(&suspect.as_member(State::Suspect), &mut body)
+        });
+        if encoded.is_ok() {
+            self.wishes.sends.push_back((address, body));
+        }
+        if accused {
+            // Told of the verdict it is another incarnation by now, which takes nothing that is meant for this one.
+            let _ = self.foca.announce(Identity::seed(address), &mut self.wishes);
+        }
+    }
+
     /// Who was cut off took the others for dead, and still has that to pass on: believed by those that it comes back to,
     /// it would harm members that nothing has happened to. So it forgets all, and asks to be let in by some of them.
     fn begin_anew(&mut self, now: Micros) {
         let others: Vec<SocketAddr> = self.others().map(|(id, _)| id.address).collect();
         // Other numbers than those of the life before.
         self.rng.set_stream(self.rng.get_stream().wrapping_add(1));
-        let (loopback_only, most, known) = (self.loopback_only, self.most, self.known.clone());
-        let codec = Checked { inner: PostcardCodec, loopback_only, known, most };
-        self.foca = Foca::new(self.me().clone(), self.config.clone(), self.rng.clone(), codec);
-        // It may have stood still, and have been told so before its own timers came to it.
-        let due = self.wishes.timers.first_key_value().map(|(&(at, _), _)| at);
-        self.stalls += u32::from(due.is_some_and(|due| now - due > self.still));
+        self.foca = Foca::new(self.me().clone(), self.config.clone(), self.rng.clone(), self.codec.clone());
+        self.beside.borrow_mut().suspicions.clear();
+        self.wishes.suspects.clear();
         self.wishes.timers.clear();
         self.wishes.sends.clear();
         self.wishes.changed = true;
@@ -234,20 +330,28 @@
     /// Tells peers that this process ends.
     pub fn leave(&mut self, now: Micros) {
         self.wishes.now = now;
+        self.beside.borrow_mut().leaves = true;
         let _ = self.foca.leave_cluster(&mut self.wishes);
+        self.beside.borrow_mut().leaves = false;
+    }
+
+    /// After a standstill the time that passed unseen did not happen: it would speak against all peers whose answers
+    /// lie unread.
+    fn note_standstill(&mut self, now: Micros) {
+        let Some(late) = self.next_timeout().map(|due| now - due).filter(|late| *late > self.still) else {
+            return;
+        };
+        self.stalls += 1;
+        let old = std::mem::take(&mut self.wishes.timers);
+        self.wishes.timers = old.into_iter().map(|((at, n), t)| ((at + late, n), t)).collect();
+        self.beside.borrow_mut().suspicions.shift(late);
     }
 
-    /// Carries out what is due. After a standstill the time that passed unseen did not happen: it would speak
-    /// against all peers whose answers lie unread.
+    /// Carries out what is due.
     pub fn wake(&mut self, now: Micros) {
-        let Some((&(due, _), _)) = self.wishes.timers.first_key_value() else { return };
-        let late = now - due;
-        if late > self.still {
-            self.stalls += 1;
-            let old = std::mem::take(&mut self.wishes.timers);
-            self.wishes.timers = old.into_iter().map(|((at, n), t)| ((at + late, n), t)).collect();
-        }
+        self.note_standstill(now);
         self.wishes.now = now;
+        self.beside.borrow_mut().suspicions.set_now(now);
         let mut due = Vec::new();
         while let Some(entry) = self.wishes.timers.first_entry().filter(|e| e.key().0 <= now) {
             due.push(entry.remove());
@@ -257,10 +361,12 @@
         for timer in due {
             let _ = self.foca.handle_timer(timer, &mut self.wishes);
         }
+        self.pursue();
     }
 
     pub fn next_timeout(&self) -> Option<Micros> {
-        self.wishes.timers.first_key_value().map(|(&(at, _), _)| at)
+        let timer = self.wishes.timers.first_key_value().map(|(&(at, _), _)| at);
+        timer.into_iter().chain(self.beside.borrow().suspicions.next_timeout()).min()
     }
 
     pub fn next_send(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
@@ -289,7 +395,7 @@
     /// Gives up addresses that nobody knows any more.
     pub fn tidy(&mut self) -> Vec<SocketAddr> {
         let held: HashSet<SocketAddr> = self.others().map(|(id, _)| id.address).collect();
-        let mut known = self.known.borrow_mut();
+        let known = &mut self.beside.borrow_mut().known;
         let gone = known.iter().filter(|a| !held.contains(a)).copied().collect();
         *known = held;
         gone
--- a/crates/peers/tests/faults.rs
+++ b/crates/peers/tests/faults.rs
@@ -82,6 +82,113 @@
     assert_eq!(harmed, 0, "members took others for dead that nothing had happened to");
 }
 
+/// How the links between two sides are cut.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// Nothing passes.
+    Both,
+    /// Nothing passes from the smaller side.
+    Out,
+    /// Nothing passes to the smaller side.
+    In,
+}
+
+/// Probes and suspicion as the drills have them.
+fn quick(s: &mut Settings) {
+    s.max_age = Duration::from_secs(2);
+    s.probe_period = Duration::from_millis(100);
+    s.suspicion = Duration::from_millis(600);
+    s.ask_every = Duration::from_millis(50);
+}
+
+/// Cuts off the last members for a time drawn from about the suspicion, heals, and counts the times that one takes
+/// another of its own side for dead: no link between these two was ever cut.
+fn deaths_within_a_side(seed: u64, cut_off: &[usize], cut: Cut) -> usize {
+    let mut net = Net::new(5, seed, quick);
+    net.until(20 * SECOND, |n| n.all_see(5)).unwrap();
+    net.run(net_jitter(seed));
+    net.nodes.iter_mut().for_each(|n| n.events.clear());
+    for &inner in cut_off {
+        for outer in (0..5).filter(|i| !cut_off.contains(i)) {
+            let closed = Link { cut: true, ..GOOD };
+            if !matches!(cut, Cut::In) {
+                net.link(inner, outer, closed);
+            }
+            if !matches!(cut, Cut::Out) {
+                net.link(outer, inner, closed);
+            }
+        }
+    }
+    let time = net.rng.random_range(SECOND / 2..SECOND * 8 / 5);
+    net.run(time);
+    net.heal();
+    net.until(20 * SECOND, |n| n.all_see(5)).expect("whole again");
+    net.run(3 * SECOND);
+    let side = |i: usize| cut_off.contains(&i);
+    let pairs =
+        (0..5).flat_map(|i| (0..5).map(move |j| (i, j))).filter(|&(i, j)| i != j && side(i) == side(j));
+    pairs
+        .filter(|&(i, j)| heard(&net, i, |e| matches!(e, Event::Down(id) if id.address == address(j))))
+        .count()
+}
+
+/// Cuts fall at another moment of the members' probes in each run.
+fn net_jitter(seed: u64) -> i64 {
+    (seed as i64 * 37 % 100) * 1_000
+}
+
+/// Guards against the word of one that was cut off for about the suspicion: it is not yet dead to the others, its own
+/// suspicions were told to nobody, and what it concludes from them harms members that nothing has happened to.
+/// `PEERS_SCHEDULES` asks for more than CI runs.
+#[test]
+fn after_a_cut_about_as_long_as_the_suspicion_nobody_takes_one_of_its_own_side_for_dead() {
+    let n = std::env::var("PEERS_SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(60);
+    let mut broken = Vec::new();
+    for cut_off in [&[4][..], &[3, 4]] {
+        for cut in [Cut::Both, Cut::Out, Cut::In] {
+            let deaths: Vec<usize> =
+                (0..n).map(|seed| deaths_within_a_side(7000 + seed, cut_off, cut)).collect();
+            let runs = deaths.iter().filter(|d| **d > 0).count();
+            println!(
+                "{cut_off:?} {cut:?}: {runs} of {n} runs, {} false deaths",
+                deaths.iter().sum::<usize>()
+            );
+            if runs > 0 {
+                broken.push((cut_off, cut, runs));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "of {n} runs each: {broken:?}");
+}
+
+/// Guards against deaths that are known late because their word is checked first: the bound is that of
+/// docs/design/fleet.md, for the first probe, the suspicion and half of it.
+#[test]
+fn a_death_is_known_to_all_within_the_bound() {
+    let n = std::env::var("PEERS_SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(40);
+    for (members, loss) in [(5, 0.0), (20, 0.0), (5, 0.1)] {
+        let mut took = Vec::new();
+        for seed in 0..n {
+            let mut net = Net::new(members, 9000 + seed, quick);
+            net.until(20 * SECOND, |n| n.all_see(members as u32)).unwrap();
+            net.every_link = Link { loss, ..GOOD };
+            net.run(net_jitter(seed));
+            net.kill(members - 1);
+            let bound = (2 * members as i64 - 1) * SECOND / 10 + SECOND * 6 / 10 * 3 / 2;
+            let known = net.until(bound, |n| n.all_see(members as u32 - 1));
+            took.push(
+                known.unwrap_or_else(|| panic!("{members} members, seed {seed}: not within {bound} us")),
+            );
+        }
+        took.sort_unstable();
+        println!(
+            "{members} members, loss {loss}: median {} us, worst {} us",
+            took[took.len() / 2],
+            took[took.len() - 1]
+        );
+    }
+}
+
 /// Guards against a member that was stopped past its suspicion and goes on as if nothing had been, and against
 /// one that takes its own standstill for the death of its peers.
 #[test]
