Weigh also the word of a death of one that is not known yet

Cause: a member that starts as a cut ends may hear first from the one that was cut off; the death of one that it did not know yet was still taken at once, and held until the accused had joined anew.

Change: such a word is a suspicion, too. Only the word of a member's own death counts at once, so that it joins anew.

--- a/crates/peers/src/swim.rs
+++ b/crates/peers/src/swim.rs
@@ -42,11 +42,9 @@
 }
 
 impl Beside {
-    /// Whether the word that the member there is down is weighed: of one that is not known here there is nothing to
-    /// lose, and of its own death a member is to hear at once, so that it joins anew.
-    fn weighs(&self, address: SocketAddr) -> bool {
-        let own = self.own.as_ref().is_some_and(|own| own.identity.address == address);
-        self.known.contains(&address) && !own
+    /// Whether this is the address of this member.
+    fn is_own(&self, address: SocketAddr) -> bool {
+        self.own.as_ref().is_some_and(|own| own.identity.address == address)
     }
 
     fn note_own(&mut self, identity: &Identity, incarnation: Incarnation) {
@@ -118,9 +116,10 @@
     fn decode_member(&mut self, buf: impl bytes::Buf) -> Result<Member<Identity>, Unsound> {
         let member: Member<Identity> =
             self.inner.decode_member(buf).map_err(|_| Unsound("can't be decoded"))?;
-        let weighed = self.beside.borrow().weighs(member.id().address);
         self.check(member.id())?;
-        Ok(if weighed { self.beside.borrow_mut().suspicions.weigh(member) } else { member })
+        let mut beside = self.beside.borrow_mut();
+        // Of its own death a member is to hear at once, so that it joins anew.
+        Ok(if beside.is_own(member.id().address) { member } else { beside.suspicions.weigh(member) })
     }
 }
 
--- a/crates/peers/tests/faults.rs
+++ b/crates/peers/tests/faults.rs
@@ -161,6 +161,35 @@
     assert!(broken.is_empty(), "of {n} runs each: {broken:?}");
 }
 
+fn holds_for_dead(net: &Net, i: usize, other: usize) -> bool {
+    let peers = net.nodes[i].peers.as_ref().unwrap();
+    let mut others = peers.others();
+    others.any(|(id, s)| s == State::Down && id.address == address(other))
+}
+
+/// Guards against the same at a member that has just started, and has heard of nobody but from the one that was cut off.
+#[test]
+fn who_starts_as_a_cut_ends_takes_nobody_for_dead_that_lives() {
+    let mut harmed = 0;
+    for seed in 0..60 {
+        let mut net = Net::new(5, 8000 + seed, quick);
+        net.until(20 * SECOND, |n| n.all_see(5)).unwrap();
+        net.run(net_jitter(seed));
+        net.split(&[0]);
+        let time = net.rng.random_range(SECOND / 2..SECOND * 8 / 5);
+        net.kill(4);
+        net.run(time);
+        net.heal();
+        net.start(4);
+        for _ in 0..300 {
+            net.run(SECOND / 100);
+            harmed += (1..5).filter(|&i| (1..4).any(|j| holds_for_dead(&net, i, j))).count();
+        }
+        assert!(net.all_see(5), "seed {seed}: not whole again");
+    }
+    assert_eq!(harmed, 0, "looks at members that took others for dead that nothing had happened to");
+}
+
 /// Guards against deaths that are known late because their word is checked first: the bound is that of
 /// docs/design/fleet.md, for the first probe, the suspicion and half of it.
 #[test]
