Name the check of reported deaths in the terms of the field, and end a confirmed suspicion at once

Cause: a suspicion that was confirmed stood until the next datagram or wake-up, with a time-out that was past.

Change: it ends with the verdict. Names: a member is reported down, a report is admitted or not, suspects are checked.

--- a/crates/peers/src/suspicion.rs
+++ b/crates/peers/src/suspicion.rs
@@ -44,7 +44,7 @@
     asks: bool,
     ask_at: Micros,
     /// Somebody said that the suspect is down.
-    accused: bool,
+    reported_down: bool,
     /// The review in which it was last found to stand.
     round: u64,
 }
@@ -52,8 +52,8 @@
 /// What is to be done about a suspicion.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Step {
-    /// Ask the suspect, and tell it of the suspicion; `accused`: it may have been renewed since.
-    Ask { suspect: Suspect, accused: bool },
+    /// Ask the suspect, and tell it of the suspicion; `reported_down`: it may have been renewed since.
+    Ask { suspect: Suspect, reported_down: bool },
     /// It did not refute within the window: it is down.
     Confirm(Suspect),
 }
@@ -84,7 +84,7 @@
     }
 
     /// What a peer says of a member, as it counts here by this time.
-    pub fn weigh(&mut self, said: Member<Identity>) -> Member<Identity> {
+    pub fn admit(&mut self, said: Member<Identity>) -> Member<Identity> {
         if said.state() != State::Down || said.incarnation() == LEFT {
             return said;
         }
@@ -98,7 +98,7 @@
         suspected
     }
 
-    /// The time by which the next words are weighed.
+    /// The time at which the next datagram is taken.
     pub fn set_now(&mut self, now: Micros) {
         self.now = now;
         self.heard.clear();
@@ -128,38 +128,40 @@
                 // Gossip reaches most suspects before they are asked.
                 let ask_at = now + self.ask_every;
                 let (suspect, asks) = (Suspect::of(member), chosen(member.id()));
-                let new = Suspicion { suspect, since: now, asks, ask_at, accused: false, round };
+                let new = Suspicion { suspect, since: now, asks, ask_at, reported_down: false, round };
                 self.standing.insert(address, new);
             }
             let Some(s) = self.standing.get_mut(&address) else { continue };
             s.round = round;
             s.asks |= found.contains(&s.suspect);
-            if !s.accused && self.heard.contains(&s.suspect) {
-                (s.accused, s.asks, s.ask_at) = (true, true, now);
+            if !s.reported_down && self.heard.contains(&s.suspect) {
+                (s.reported_down, s.asks, s.ask_at) = (true, true, now);
             }
         }
         self.standing.retain(|_, s| s.round == round);
         self.heard.clear();
     }
 
-    /// What is due by now.
+    /// What is due by now. What is confirmed stands no longer.
     pub fn due(&mut self) -> Vec<Step> {
         let (now, window, ask_every) = (self.now, self.window, self.ask_every);
         let mut steps = Vec::new();
-        for s in self.standing.values_mut() {
-            if s.accused && now - s.since >= window {
+        self.standing.retain(|_, s| {
+            let ends = s.reported_down && now - s.since >= window;
+            if ends {
                 steps.push(Step::Confirm(s.suspect.clone()));
             } else if s.asks && now >= s.ask_at {
                 s.ask_at = now + ask_every;
-                steps.push(Step::Ask { suspect: s.suspect.clone(), accused: s.accused });
+                steps.push(Step::Ask { suspect: s.suspect.clone(), reported_down: s.reported_down });
             }
-        }
+            !ends
+        });
         steps
     }
 
     pub fn next_timeout(&self) -> Option<Micros> {
         let asks = self.standing.values().filter(|s| s.asks).map(|s| s.ask_at);
-        let ends = self.standing.values().filter(|s| s.accused).map(|s| s.since + self.window);
+        let ends = self.standing.values().filter(|s| s.reported_down).map(|s| s.since + self.window);
         asks.chain(ends).min()
     }
 
--- a/crates/peers/src/suspicion_tests.rs
+++ b/crates/peers/src/suspicion_tests.rs
@@ -17,7 +17,7 @@
 /// Lets one datagram with this word come at this time, after which the member is held as suspected.
 fn hear(s: &mut Suspicions, now: i64, word: Member<Identity>) -> State {
     s.set_now(Micros(now));
-    let counts = s.weigh(word).state();
+    let counts = s.admit(word).state();
     s.review([member(0, State::Suspect)].iter(), &[], |_| false);
     counts
 }
@@ -35,7 +35,7 @@
 fn a_death_out_of_the_blue_is_a_suspicion_that_is_asked_about_and_confirmed_after_the_window() {
     let mut s = Suspicions::new(WINDOW, ASK_EVERY);
     assert_eq!(hear(&mut s, 0, member(0, State::Down)), State::Suspect);
-    let ask = || vec![Step::Ask { suspect: suspect(), accused: true }];
+    let ask = || vec![Step::Ask { suspect: suspect(), reported_down: true }];
     assert_eq!(due(&mut s, 0), ask());
     assert_eq!(due(&mut s, 99), []);
     assert_eq!(s.next_timeout(), Some(Micros(100)));
@@ -44,6 +44,7 @@
     assert_eq!(hear(&mut s, 150, member(0, State::Down)), State::Suspect);
     assert_eq!(due(&mut s, 150), []);
     assert_eq!(due(&mut s, 300), [Step::Confirm(suspect())]);
+    assert_eq!((due(&mut s, 300), s.next_timeout()), (vec![], None));
 }
 
 #[test]
@@ -62,9 +63,9 @@
 fn who_leaves_is_believed() {
     let mut s = Suspicions::new(WINDOW, ASK_EVERY);
     s.set_now(Micros(0));
-    assert_eq!(s.weigh(member(LEFT, State::Down)).state(), State::Down);
+    assert_eq!(s.admit(member(LEFT, State::Down)).state(), State::Down);
     for state in [State::Alive, State::Suspect] {
-        assert_eq!(s.weigh(member(0, state)).state(), state);
+        assert_eq!(s.admit(member(0, state)).state(), state);
     }
 }
 
--- a/crates/peers/src/swim.rs
+++ b/crates/peers/src/swim.rs
@@ -30,8 +30,8 @@
 /// The number of a ping whose answer is wanted for the incarnation in it, whichever probe is under way.
 const UNNUMBERED: u8 = 0;
 
-/// What is held beside `foca`, by what passes through its codec.
-struct Beside {
+/// What the codec shares with the member: it sees all that is said and heard.
+struct CodecState {
     /// Addresses that were heard of.
     known: HashSet<SocketAddr>,
     suspicions: Suspicions,
@@ -41,7 +41,7 @@
     leaves: bool,
 }
 
-impl Beside {
+impl CodecState {
     /// Whether this is the address of this member.
     fn is_own(&self, address: SocketAddr) -> bool {
         self.own.as_ref().is_some_and(|own| own.identity.address == address)
@@ -55,12 +55,12 @@
     }
 }
 
-/// What peers say is checked and weighed before `foca` takes it, and what it may grow to is bounded.
+/// What peers say is checked before `foca` takes it, and what it may grow to is bounded.
 #[derive(Clone)]
 struct Checked {
     inner: PostcardCodec,
     loopback_only: bool,
-    beside: Rc<RefCell<Beside>>,
+    state: Rc<RefCell<CodecState>>,
     most: usize,
 }
 
@@ -80,7 +80,7 @@
         if !id.is_sound(self.loopback_only) {
             return Err(Unsound("an identity with a name or address that is not allowed"));
         }
-        let known = &mut self.beside.borrow_mut().known;
+        let known = &mut self.state.borrow_mut().known;
         if known.len() >= self.most && !known.contains(&id.address) {
             return Err(Unsound("more members than may be"));
         }
@@ -93,7 +93,7 @@
     type Error = Unsound;
 
     fn encode_header(&mut self, header: &Header<Identity>, buf: impl BufMut) -> Result<(), Unsound> {
-        self.beside.borrow_mut().note_own(&header.src, header.src_incarnation);
+        self.state.borrow_mut().note_own(&header.src, header.src_incarnation);
         self.inner.encode_header(header, buf).map_err(|_| Unsound("can't be encoded"))
     }
 
@@ -105,7 +105,7 @@
     }
 
     fn encode_member(&mut self, member: &Member<Identity>, buf: impl BufMut) -> Result<(), Unsound> {
-        let encoded = if self.beside.borrow().leaves && member.state() == State::Down {
+        let encoded = if self.state.borrow().leaves && member.state() == State::Down {
             self.inner.encode_member(&Member::new(member.id().clone(), LEFT, State::Down), buf)
         } else {
             self.inner.encode_member(member, buf)
@@ -117,9 +117,9 @@
         let member: Member<Identity> =
             self.inner.decode_member(buf).map_err(|_| Unsound("can't be decoded"))?;
         self.check(member.id())?;
-        let mut beside = self.beside.borrow_mut();
+        let mut state = self.state.borrow_mut();
         // Of its own death a member is to hear at once, so that it joins anew.
-        Ok(if beside.is_own(member.id().address) { member } else { beside.suspicions.weigh(member) })
+        Ok(if state.is_own(member.id().address) { member } else { state.suspicions.admit(member) })
     }
 }
 
@@ -180,7 +180,7 @@
     config: Config,
     codec: Checked,
     rng: ChaCha8Rng,
-    beside: Rc<RefCell<Beside>>,
+    state: Rc<RefCell<CodecState>>,
     /// Time-outs that are later than this come from a process that stood still.
     still: Micros,
     /// How often this process stood still, as far as it noticed.
@@ -189,14 +189,14 @@
 
 impl Swim {
     pub fn new(me: Identity, s: &Settings, loopback_only: bool, rng: ChaCha8Rng, now: Micros) -> Swim {
-        let beside = Rc::new(RefCell::new(Beside {
+        let state = Rc::new(RefCell::new(CodecState {
             known: HashSet::new(),
             suspicions: Suspicions::new(micros(s.suspicion / 2), micros(s.probe_period / 3)),
             own: None,
             leaves: false,
         }));
         let codec =
-            Checked { inner: PostcardCodec, loopback_only, beside: beside.clone(), most: s.members_most };
+            Checked { inner: PostcardCodec, loopback_only, state: state.clone(), most: s.members_most };
         let every = |frequency, n| {
             Some(PeriodicParams { frequency, num_members: NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN) })
         };
@@ -217,7 +217,7 @@
         let foca = Foca::new(me, config.clone(), rng.clone(), codec.clone());
         let wishes = Wishes { now, ..Wishes::default() };
         let still = micros(s.probe_period / 3);
-        Swim { foca, wishes, config, codec, rng, beside, still, stalls: 0 }
+        Swim { foca, wishes, config, codec, rng, state, still, stalls: 0 }
     }
 
     pub fn me(&self) -> &Identity {
@@ -233,17 +233,17 @@
         // It may have stood still, and hear of it before its own timers come to it.
         self.note_standstill(now);
         self.wishes.now = now;
-        self.beside.borrow_mut().suspicions.set_now(now);
+        self.state.borrow_mut().suspicions.set_now(now);
         let taken = self.foca.handle_data(body, &mut self.wishes).is_ok();
         if std::mem::take(&mut self.wishes.rejoined) {
             self.begin_anew(now);
         }
-        self.pursue();
+        self.check_suspects();
         taken
     }
 
     /// Keeps up with who is suspected, and asks or gives up who is due.
-    fn pursue(&mut self) {
+    fn check_suspects(&mut self) {
         let found = std::mem::take(&mut self.wishes.suspects);
         let (me, foca) = (self.me().boot, &self.foca);
         let suspects = foca.iter_membership_state().filter(|m| m.state() == State::Suspect);
@@ -252,13 +252,13 @@
             let others = foca.iter_members().filter(|m| m.id() != suspect);
             others.filter(|m| rendezvous(suspect.boot, m.id().boot) < own).take(ASKERS).count() < ASKERS
         };
-        let mut beside = self.beside.borrow_mut();
-        beside.suspicions.review(suspects, &found, chosen);
-        let steps = beside.suspicions.due();
-        drop(beside);
+        let mut state = self.state.borrow_mut();
+        state.suspicions.review(suspects, &found, chosen);
+        let steps = state.suspicions.due();
+        drop(state);
         for step in steps {
             match step {
-                Step::Ask { suspect, accused } => self.ask(suspect, accused),
+                Step::Ask { suspect, reported_down } => self.ask(suspect, reported_down),
                 Step::Confirm(suspect) => {
                     let down = std::iter::once(suspect.as_member(State::Down));
                     let _ = self.foca.apply_many(down, true, &mut self.wishes);
@@ -268,9 +268,9 @@
     }
 
     /// Asks a suspect, and tells it of the suspicion: the answer is under a later incarnation, which refutes it.
-    fn ask(&mut self, suspect: Suspect, accused: bool) {
+    fn ask(&mut self, suspect: Suspect, reported_down: bool) {
         let address = suspect.identity.address;
-        let own = self.beside.borrow().own.clone().filter(|own| own.identity == *self.me());
+        let own = self.state.borrow().own.clone().filter(|own| own.identity == *self.me());
         let header = Header {
             src: self.me().clone(),
             src_incarnation: own.map_or(Incarnation::default(), |own| own.incarnation),
@@ -285,7 +285,7 @@
         if encoded.is_ok() {
             self.wishes.sends.push_back((address, body));
         }
-        if accused {
+        if reported_down {
             // Told of the verdict it is another incarnation by now, which takes nothing that is meant for this one.
             let _ = self.foca.announce(Identity::seed(address), &mut self.wishes);
         }
@@ -298,7 +298,7 @@
         // Other numbers than those of the life before.
         self.rng.set_stream(self.rng.get_stream().wrapping_add(1));
         self.foca = Foca::new(self.me().clone(), self.config.clone(), self.rng.clone(), self.codec.clone());
-        self.beside.borrow_mut().suspicions.clear();
+        self.state.borrow_mut().suspicions.clear();
         self.wishes.suspects.clear();
         self.wishes.timers.clear();
         self.wishes.sends.clear();
@@ -329,9 +329,9 @@
     /// Tells peers that this process ends.
     pub fn leave(&mut self, now: Micros) {
         self.wishes.now = now;
-        self.beside.borrow_mut().leaves = true;
+        self.state.borrow_mut().leaves = true;
         let _ = self.foca.leave_cluster(&mut self.wishes);
-        self.beside.borrow_mut().leaves = false;
+        self.state.borrow_mut().leaves = false;
     }
 
     /// After a standstill the time that passed unseen did not happen: it would speak against all peers whose answers
@@ -343,14 +343,14 @@
         self.stalls += 1;
         let old = std::mem::take(&mut self.wishes.timers);
         self.wishes.timers = old.into_iter().map(|((at, n), t)| ((at + late, n), t)).collect();
-        self.beside.borrow_mut().suspicions.shift(late);
+        self.state.borrow_mut().suspicions.shift(late);
     }
 
     /// Carries out what is due.
     pub fn wake(&mut self, now: Micros) {
         self.note_standstill(now);
         self.wishes.now = now;
-        self.beside.borrow_mut().suspicions.set_now(now);
+        self.state.borrow_mut().suspicions.set_now(now);
         let mut due = Vec::new();
         while let Some(entry) = self.wishes.timers.first_entry().filter(|e| e.key().0 <= now) {
             due.push(entry.remove());
@@ -360,12 +360,12 @@
         for timer in due {
             let _ = self.foca.handle_timer(timer, &mut self.wishes);
         }
-        self.pursue();
+        self.check_suspects();
     }
 
     pub fn next_timeout(&self) -> Option<Micros> {
         let timer = self.wishes.timers.first_key_value().map(|(&(at, _), _)| at);
-        timer.into_iter().chain(self.beside.borrow().suspicions.next_timeout()).min()
+        timer.into_iter().chain(self.state.borrow().suspicions.next_timeout()).min()
     }
 
     pub fn next_send(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
@@ -394,7 +394,7 @@
     /// Gives up addresses that nobody knows any more.
     pub fn tidy(&mut self) -> Vec<SocketAddr> {
         let held: HashSet<SocketAddr> = self.others().map(|(id, _)| id.address).collect();
-        let known = &mut self.beside.borrow_mut().known;
+        let known = &mut self.state.borrow_mut().known;
         let gone = known.iter().filter(|a| !held.contains(a)).copied().collect();
         *known = held;
         gone
