Leave older lists aside, and repeat soon what discovery began to answer

The list held is a type of its own without I/O (held_list). A watch that ended after its head, before any list, waited a whole cycle (tests/outages.rs, 4.5 s): only what discovery refused or left unanswered tells of load now. The bound in that test is 1 s again instead of 3 s, which the old pauses had needed.

--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -60,8 +60,8 @@
     WatchFailed {
         /// For how long before that nothing had come on it.
         silent: Duration,
-        /// Its call had been sent.
-        reached: bool,
+        /// Its call was sent, and refused or left unanswered.
+        refused: bool,
     },
 }
 
@@ -187,8 +187,8 @@
                 let form = if list.whole { Form::Full } else { Form::Delta };
                 return self.hosts(now, form, &list);
             }
-            Report::WatchFailed { silent, reached } => {
-                Event::Unwatched { since: Micros(now.0 - silent.as_micros() as i64), reached }
+            Report::WatchFailed { silent, refused } => {
+                Event::Unwatched { since: Micros(now.0 - silent.as_micros() as i64), refused }
             }
         };
         self.handle(now, event)
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -225,7 +225,7 @@
         }
         match event {
             Event::List { form, entries } => self.news(form, entries),
-            Event::Unwatched { since, reached } => self.unwatched(since, reached),
+            Event::Unwatched { since, refused } => self.unwatched(since, refused),
             Event::Request(new) => self.admit(new, actions),
             Event::Outcome(outcome) => self.outcome(outcome, actions),
             Event::Gone(id) => self.over(id, actions),
@@ -983,8 +983,8 @@
     }
 
     /// The watch is lost, or could not be had; up to `since` it would have told of every change.
-    fn unwatched(&mut self, since: Micros, reached: bool) {
-        if self.subscription.as_mut().is_some_and(|s| s.failed(self.now, reached)) {
+    fn unwatched(&mut self, since: Micros, refused: bool) {
+        if self.subscription.as_mut().is_some_and(|s| s.failed(self.now, refused)) {
             self.servers.iter_mut().for_each(|s| s.proven = s.proven.max(since));
         }
     }
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -353,7 +353,7 @@
     t.acts.clear();
     for failure in 0..3 {
         let since = t.now;
-        t.tell(Event::Unwatched { since, reached: true });
+        t.tell(Event::Unwatched { since, refused: true });
         // Others wait for the same service: not at once, and again before what it has to tell binds, 6 s later.
         t.periods(10);
         assert_eq!(watches(&t), failure);
@@ -364,7 +364,7 @@
     t.tell(Event::List { form: Form::Delta, entries: &[] });
     // A watch that was open and ends is asked for again within a second.
     let since = t.now;
-    t.tell(Event::Unwatched { since, reached: true });
+    t.tell(Event::Unwatched { since, refused: true });
     t.periods(5);
     assert_eq!(watches(&t), 1);
     t.acts.clear();
@@ -390,7 +390,7 @@
     let asked: Vec<_> = (0..24).map(|id| (id, t.ask(id, 10_000))).collect();
     asked.iter().filter(|(_, to)| to.is_some()).for_each(|&(id, _)| t.end(id, 0, Code::Ok, 10_000, None));
     let since = t.now;
-    t.tell(Event::Unwatched { since, reached: true });
+    t.tell(Event::Unwatched { since, refused: true });
     // Servers 0 and 1 drain: they turn away what is new.
     let mut turned_away = 0;
     for id in 100..200 {
--- a/crates/decisions/tests/four_rules.rs
+++ b/crates/decisions/tests/four_rules.rs
@@ -202,8 +202,8 @@
         else {
             if self.watch {
                 let since = self.now - Micros(self.rng.i64(0..5_000_000));
-                let reached = self.rng.bool();
-                self.tell(Event::Unwatched { since, reached });
+                let refused = self.rng.bool();
+                self.tell(Event::Unwatched { since, refused });
             }
             return;
         };
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -367,8 +367,8 @@
     Unwatched {
         /// Up to then, what it had to tell has come.
         since: Micros,
-        /// The call had reached discovery, and cost it time.
-        reached: bool,
+        /// Discovery refused the call or left it unanswered: it may have too much to do.
+        refused: bool,
     },
     /// A request came in.
     Request(NewRequest),
--- a/crates/serve/src/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -1,14 +1,14 @@
 //! Where the upstreams come from: a watch on the discovery service. When to ask is the module's decision.
 
+use crate::held_list::{HeldList, Taken};
 use crate::http::{self, Chunks};
 use crate::pools::PoolId;
 use crate::source::Source;
 use crate::{Proxy, Reading, Watched};
 use garnettally_config::platform::take_host_lists;
-use garnettally_decisions::facade::{Listed, Report};
-use garnettally_model::{HostList, Listing};
+use garnettally_decisions::facade::Report;
+use garnettally_model::HostList;
 use slog::{info, warn};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -27,39 +27,28 @@
     deadline: Instant,
 }
 
-/// The watch, the version that it goes on from, and what was listed up to there.
+impl Watch {
+    /// Whether its call was sent and has no answer.
+    fn is_unanswered(&self) -> bool {
+        self.written > 0 && self.chunks.is_none()
+    }
+}
+
+/// The watch, and the list that it goes on from.
 pub struct Discovery {
     address: SocketAddr,
-    version: u64,
-    hosts: BTreeMap<String, (Listing, Option<SocketAddr>)>,
+    held: HeldList,
     watch: Option<Watch>,
 }
 
 impl Discovery {
     pub fn new(address: SocketAddr, known: Option<&HostList>) -> Discovery {
-        let mut discovery = Discovery { address, version: 0, hosts: BTreeMap::new(), watch: None };
-        if let Some(known) = known {
-            discovery.take(known);
-        }
-        discovery
-    }
-
-    fn take(&mut self, list: &HostList) {
-        self.version = list.seq;
-        if list.whole {
-            self.hosts.clear();
-        }
-        for (listing, dial) in &list.hosts {
-            match listing.state {
-                Listed::Gone => self.hosts.remove(&listing.name),
-                _ => self.hosts.insert(listing.name.clone(), (listing.clone(), *dial)),
-            };
-        }
+        Discovery { address, held: HeldList::new(known), watch: None }
     }
 
     /// The list as it is held now.
     pub fn held(&self) -> HostList {
-        HostList { seq: self.version, whole: true, hosts: self.hosts.values().cloned().collect() }
+        self.held.whole()
     }
 
     /// Where it answers.
@@ -72,14 +61,9 @@
         self.watch.as_ref().is_some_and(|w| w.number == number)
     }
 
-    /// The list as it is held, where an open watch keeps it so.
+    /// News that nothing has changed, where an open watch says so.
     pub fn watched(&self) -> Option<HostList> {
-        self.watch.as_ref().filter(|w| w.heard.is_some()).map(|_| self.unchanged())
-    }
-
-    /// News that nothing has changed.
-    fn unchanged(&self) -> HostList {
-        HostList { seq: self.version, whole: false, hosts: Vec::new() }
+        self.watch.as_ref().filter(|w| w.heard.is_some()).map(|_| self.held.unchanged())
     }
 
     /// When silence ends the watch.
@@ -103,7 +87,8 @@
         info!(self.net.log, "discovery has moved"; "from" => %old, "to" => %address);
         self.end_watch(pool);
         if let Some(discovery) = self.discovery(pool) {
-            (discovery.address, discovery.version) = (address, 0);
+            discovery.address = address;
+            discovery.held.forget_version();
         }
         self.start_watch(pool);
     }
@@ -115,7 +100,7 @@
             return self.tell_of_hosts(pool, unchanged);
         }
         let Some((address, version)) =
-            self.discovery(pool).filter(|d| d.watch.is_none()).map(|d| (d.address, d.version))
+            self.discovery(pool).filter(|d| d.watch.is_none()).map(|d| (d.address, d.held.version()))
         else {
             return;
         };
@@ -162,10 +147,10 @@
     /// The watch has failed, and for so long before that nothing had come.
     fn watch_silent(&mut self, pool: PoolId, silent: Duration, why: &str) {
         warn!(self.net.log, "the watch on discovery failed"; "why" => why);
-        let reached = self.discovery(pool).and_then(|d| d.watch.as_ref()).is_some_and(|w| w.written > 0);
+        let refused = self.discovery(pool).and_then(|d| d.watch.as_ref()).is_some_and(Watch::is_unanswered);
         self.end_watch(pool);
         for p in self.pools.told_by(pool) {
-            p.queue(Report::WatchFailed { silent, reached }, Instant::now());
+            p.queue(Report::WatchFailed { silent, refused }, Instant::now());
         }
     }
 
@@ -256,16 +241,21 @@
             first = watch.heard.replace(now).is_none();
             watch.deadline = now + limits.discovery_silence;
         }
-        lists.iter().for_each(|list| discovery.take(list));
-        if first && lists.is_empty() {
+        let told = lists.len();
+        lists.retain(|list| discovery.held.take(list) == Taken::Applied);
+        let older = lists.len() < told;
+        if first && told == 0 {
             // An empty line is an answer, too: the watch is open, and nothing has changed.
-            lists.push(discovery.unchanged());
+            lists.push(discovery.held.unchanged());
         }
         for list in lists {
             info!(log, "hosts"; "seq" => list.seq, "whole" => list.whole, "entries" => list.hosts.len());
             self.tell_of_hosts(pool, list);
         }
         result.map_err(|e| format!("a list makes no sense: {e}"))?;
+        if older {
+            return Err("a list is older than the one held, which stays in force".into());
+        }
         if done {
             return Err("discovery ended it".into());
         }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -16,6 +16,7 @@
 mod exchange;
 mod export;
 mod fleet;
+mod held_list;
 mod http;
 mod lease;
 pub mod plan;
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -22,8 +22,9 @@
 /// A watch that is lost, and the first one, are asked for within this and the calls of all instances.
 const FIRST_SPREAD: Micros = Micros(400_000);
 
-/// So many calls that never reached the registry are repeated after a short pause, which doubles; then it is down.
-const UNREACHED_MOST: u32 = 2;
+/// So many calls that were not refused (no connection, or an answer that ended early) are repeated after a short pause,
+/// which doubles; then the registry is taken to be down.
+const REPEATS_MOST: u32 = 2;
 
 /// The shortest pause after a failure.
 const PAUSE_LEAST: Micros = Micros(100_000);
@@ -78,8 +79,8 @@
     /// Length of a cycle, in first cycles; 1 or more.
     stretch: f64,
     failures: u32,
-    /// Calls since the last success that never reached the registry, as far as they were repeated soon.
-    unreached: u32,
+    /// Calls since the last success that were repeated after a short pause.
+    repeats: u32,
     /// Since when there has been no watch, where there is none.
     without_since: Micros,
 }
@@ -105,7 +106,7 @@
             state,
             stretch: 1.0,
             failures: 0,
-            unreached: 0,
+            repeats: 0,
             without_since: now,
         };
         subscription.wait_for_first(now);
@@ -136,17 +137,17 @@
             return;
         }
         self.state = State::Open;
-        (self.failures, self.unreached) = (0, 0);
+        (self.failures, self.repeats) = (0, 0);
         self.stretch = (self.stretch * STRETCH_KEPT).max(1.0);
     }
 
-    /// The call has failed, or the watch has ended; returns whether a watch was open until now. A call that never
-    /// reached the registry has cost it nothing.
-    pub fn failed(&mut self, now: Micros, reached: bool) -> bool {
+    /// The call has failed, or the watch has ended; returns whether a watch was open until now. A call that was not
+    /// refused tells of no load on the registry.
+    pub fn failed(&mut self, now: Micros, refused: bool) -> bool {
         let was_open = self.is_open();
         match self.state {
             State::Waiting { .. } => {}
-            State::Asked { at } => self.wait_for_next(at, now, reached),
+            State::Asked { at } => self.wait_for_next(at, now, refused),
             State::Open => {
                 self.without_since = now;
                 self.wait_for_first(now);
@@ -189,12 +190,12 @@
         self.state = State::Waiting { until: now + Micros(self.random.i64(0..=spread)) };
     }
 
-    /// A call one cycle after the one that failed; sooner at first, where that one did not reach the registry.
-    fn wait_for_next(&mut self, asked: Micros, now: Micros, reached: bool) {
+    /// A call one cycle after the one that failed; sooner at first, where that one was not refused.
+    fn wait_for_next(&mut self, asked: Micros, now: Micros, refused: bool) {
         let pause = Micros(PAUSE_LEAST.0 + self.random.i64(0..=PAUSE_LEAST.0));
-        if !reached && self.unreached < UNREACHED_MOST {
-            self.unreached += 1;
-            self.state = State::Waiting { until: now + Micros(pause.0 << self.unreached) };
+        if !refused && self.repeats < REPEATS_MOST {
+            self.repeats += 1;
+            self.state = State::Waiting { until: now + Micros(pause.0 << self.repeats) };
             return;
         }
         self.failures = self.failures.saturating_add(1);
--- a/crates/subscription/tests/pace.rs
+++ b/crates/subscription/tests/pace.rs
@@ -139,7 +139,7 @@
 }
 
 #[test]
-fn a_call_that_never_reached_the_registry_is_soon_repeated_but_not_for_ever() {
+fn a_call_that_was_not_refused_is_soon_repeated_but_not_for_ever() {
     let mut subscription = shared(300, 4);
     let mut asked = next_ask(&mut subscription);
     for _ in 0..2 {
--- a/tests/outages.rs
+++ b/tests/outages.rs
@@ -150,8 +150,8 @@
 /// Some of them stay free for what is opened in between: a watch, and what is about to close.
 const SPARE: usize = 4;
 
-/// A watch is asked for again within this, also after some calls that failed.
-const WATCHED_AGAIN: Duration = Duration::from_secs(3);
+/// A watch that was open is asked for again within this, also after some calls that failed.
+const WATCHED_AGAIN: Duration = Duration::from_secs(1);
 
 /// Starts the program with no more descriptors than its configuration says.
 fn start_confined(text: &str, address: SocketAddr) -> Balancer {
