Emulate a registry that handles calls one after another, and show its queue from logs

Cause: nothing in the project could show a registry that is asked for more than it can answer in time.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`events`]: the order of things; ties go by the order in which they were asked for.
 //! - [`draw`]: random numbers, each purpose with a stream of its own, all from one seed.
 //! - [`node`]: a node as a queue and processors that are shared.
+//! - [`registry`]: a registry that many processes share, as a queue of calls.
 //! - [`policy`]: what decides, the real module or a reference to compare it with.
 //! - [`references`]: those references. They are for the lab alone; the serving path can't reach them.
 //! - [`rules`]: the four rules, checked from what happened in the world and not from what a balancer believes.
@@ -22,6 +23,7 @@
 pub mod node;
 pub mod policy;
 pub mod references;
+pub mod registry;
 pub mod report;
 pub mod rules;
 pub mod world;
