Move the tests of 31 source files into test files beside them

Cause: 31 source files held their tests in an inline module; tests live in test files.

Change: each module moves as it is, one level less indented, to `*_tests.rs` beside its source, included by path as crates/peers/src/suspicion_tests.rs is. No production code changes: the sources lose the module and gain two lines each.

Integration tests, benchmarks and doc tests were compiled or listed, not run.

--- a/crates/experiment/src/stats.rs
+++ b/crates/experiment/src/stats.rs
@@ -79,41 +79,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn intervals_are_those_of_the_tables() {
-        // t for 4 degrees of freedom and 95%: 2.776; deviation of 1..5: 1.5811.
-        let m = Mean::of(&[1.0, 2.0, 3.0, 4.0, 5.0]);
-        assert_eq!(m.mean, 3.0);
-        assert!((m.half - 2.776_445 * 1.581_139 / 5f64.sqrt()).abs() < 1e-4, "{}", m.half);
-        assert!(Mean::of(&[7.0]).half.is_infinite() && !Mean::of(&[7.0]).is_sure());
-        assert!(Mean::of(&[1.0, 1.0, 1.1]).is_sure());
-    }
-
-    #[test]
-    fn differences_pair_the_seeds() {
-        let row = |policy, seed, service| Row {
-            case: "c".into(),
-            hash: 0,
-            policy,
-            seed,
-            service,
-            worst_second: 0.0,
-            goodput: 0.0,
-            waste: 0.0,
-            retry_amplification: 0.0,
-            p50_ms: 0.0,
-            p99_ms: 0.0,
-            imbalance: 0.0,
-            broken: 0,
-            decisions: 0,
-            events: 0,
-        };
-        let (a, b) = (Kind::Module, Kind::Random);
-        let all = [row(a, 1, 0.9), row(a, 2, 0.5), row(b, 1, 0.8), row(b, 2, 0.4), row(b, 3, 0.1)];
-        let d = paired(&all, "c", b, a, &FIGURES[0]);
-        assert!((d.mean + 0.1).abs() < 1e-12 && d.half < 1e-9 && d.n == 2, "{d:?}");
-    }
-}
+#[path = "stats_tests.rs"]
+mod tests;
