--- a/tests/ci.rs
+++ b/tests/ci.rs
@@ -49,3 +49,85 @@
         assert!(String::from_utf8_lossy(&out.stderr).contains(why), "{name}: {out:?}");
     }
 }
+
+/// What `.ci/tests-in-test-files` makes of a folder with these files.
+fn tests_in_test_files(name: &str, files: &[(&str, &str)]) -> Output {
+    let root = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("test-files-{name}"));
+    let _ = std::fs::remove_dir_all(&root);
+    std::fs::create_dir_all(&root).unwrap();
+    for (file, text) in files {
+        let path = root.join(file);
+        std::fs::create_dir_all(path.parent().unwrap()).unwrap();
+        std::fs::write(path, text).unwrap();
+    }
+    let script = concat!(env!("CARGO_MANIFEST_DIR"), "/.ci/tests-in-test-files");
+    Command::new("bash").arg(script).arg(&root).output().unwrap()
+}
+
+const TEST: &str = "proptest! {\n    #[test]\n    fn t() {}\n}\n#[cfg(test)]\nmod tests {}\n";
+
+#[test]
+fn tests_in_test_files_pass() {
+    let source = "//! Not #[test].\n\
+        fn f() {} // nor #[test], nor proptest! {}\n\
+        #[cfg(test)]\nuse f as g;\nmod plain {}\n\
+        #[cfg(not(test))]\nmod real {}\n\
+        #[cfg(feature = \"test\")]\nmod optional {}\n\
+        #[cfg(test)]\n#[path = \"lib_tests.rs\"]\nmod tests;\nmod last {}\n";
+    let clean = tests_in_test_files(
+        "clean",
+        &[
+            ("src/lib.rs", source),
+            ("src/lib_tests.rs", TEST),
+            ("src/part/tests.rs", TEST),
+            ("crates/a/tests/unit/a.rs", TEST),
+            ("benches/b.rs", TEST),
+            ("target/debug/out.rs", TEST),
+            ("notes.md", TEST),
+        ],
+    );
+    assert!(clean.status.success() && clean.stdout.is_empty() && clean.stderr.is_empty(), "{clean:?}");
+}
+
+/// Guards against a check that passes over what it does not know, or over a folder without any source.
+#[test]
+fn tests_in_other_files_are_named_by_file_and_line() {
+    const ATTRIBUTE: &str = "#[test]";
+    const MODULE: &str = "inline test module";
+    type Found = &'static [(usize, &'static str)];
+    let cases: &[(&str, &str, Found)] = &[
+        ("attribute", "fn f() {}\n#[test]\nfn t() {}\n", &[(2, ATTRIBUTE)]),
+        ("async", "#[tokio::test(flavor = \"x\")]\nasync fn t() {}\n", &[(1, ATTRIBUTE)]),
+        ("same-line", "const U: &str = \"http://u\"; #[test] fn t() {}\n", &[(1, ATTRIBUTE)]),
+        ("module", "fn f() {}\n\n#[cfg(test)]\nmod tests {\n}\n", &[(4, MODULE)]),
+        ("module-on-a-line", "#[cfg(test)] pub(crate) mod odd {}\n", &[(1, MODULE)]),
+        ("module-of-some", "#[cfg(all(test, unix))]\nmod odd {}\n", &[(2, MODULE)]),
+        (
+            "module-after",
+            "#[cfg(test)]\n// Why.\n#[allow(\n    dead_code\n)]\nmod tests {}\n",
+            &[(6, MODULE)],
+        ),
+        ("block", "\nproptest! {}\n", &[(2, "proptest!")]),
+        ("block-by-path", "proptest::proptest!(|(x: u8)| {});\n", &[(1, "proptest!")]),
+        (
+            "all",
+            "#[cfg(test)]\nmod tests {\n    proptest! {\n        #[test]\n        fn t() {}\n    }\n}\n",
+            &[(2, MODULE), (3, "proptest!"), (4, ATTRIBUTE)],
+        ),
+    ];
+    for (name, text, found) in cases {
+        // Names that only look like those of test files.
+        for file in ["crates/a/src/x.rs", "src/contests.rs", "my_tests/x.rs"] {
+            let out = tests_in_test_files(name, &[("src/lib.rs", "fn f() {}\n"), (file, text)]);
+            assert!(!out.status.success(), "{name}: {out:?}");
+            let told: String = found
+                .iter()
+                .map(|(line, what)| format!("{file}:{line}: {what} outside of a test file\n"))
+                .collect();
+            assert_eq!(String::from_utf8_lossy(&out.stderr), told, "{name}");
+        }
+    }
+    let none = tests_in_test_files("none", &[("tests/a.rs", TEST)]);
+    assert!(!none.status.success(), "{none:?}");
+    assert!(String::from_utf8_lossy(&none.stderr).contains("no Rust sources"), "{none:?}");
+}
