--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -989,8 +989,8 @@
         }
     }
 
-    /// Whether it is sure to stay. While nothing tells of changes, a server is that took a call of late, and one
-    /// that turned one away is not. Harm: fewer servers for as long as discovery is out of reach.
+    /// Whether it is sure to stay. While nothing tells of changes, what took a call of late is, and what
+    /// turned one away is not. Harm: fewer servers for as long as discovery is out of reach.
     fn trusted(&self, s: &Server) -> bool {
         let blind = self.subscription.as_ref().is_some_and(|s| s.is_blind(self.now));
         !blind || self.now - s.proven < PROOF_LASTS
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -16,8 +16,8 @@
 /// for its answer: whoever asks within 4 s of the return is answered in time, if the registry can answer all by then.
 const CYCLE_LEAST: Micros = Micros(4_000_000);
 
-/// One call of each instance takes this part of a cycle: 60 calls a second are assumed until failures tell otherwise.
-const CALL: Micros = Micros(16_000);
+/// One call of each instance takes this part of a cycle: 55 calls a second are assumed until failures tell otherwise.
+const CALL: Micros = Micros(18_000);
 
 /// A watch that is lost, and the first one, are asked for within this and the calls of all instances.
 const FIRST_SPREAD: Micros = Micros(400_000);
@@ -32,10 +32,10 @@
 /// A cycle varies by this part of it to either side, so that processes which met once part again.
 const JITTER: f64 = 0.2;
 
-/// So many failures in a row may be an outage that is soon over, in which a longer cycle would only be late.
-const PATIENT_FAILURES: u32 = 3;
+/// For so long without a watch it may be an outage that is soon over, in which a longer cycle would only be late.
+const PATIENCE: Micros = Micros(15_000_000);
 
-/// Growth of the cycle by each of these, and by each failure after them.
+/// Growth of the cycle by each failure until then, and by each later one.
 const GROWTH_PATIENT: f64 = 1.1;
 const GROWTH: f64 = 1.5;
 
@@ -78,7 +78,6 @@
     state: State,
     /// Length of a cycle, in first cycles; 1 or more.
     stretch: f64,
-    failures: u32,
     /// Calls since the last success that were repeated after a short pause.
     repeats: u32,
     /// Since when there has been no watch, where there is none.
@@ -100,15 +99,8 @@
     pub fn new(registry: Registry, seed: u64, now: Micros) -> Subscription {
         let state = State::Waiting { until: now };
         let random = fastrand::Rng::with_seed(seed);
-        let mut subscription = Subscription {
-            registry,
-            random,
-            state,
-            stretch: 1.0,
-            failures: 0,
-            repeats: 0,
-            without_since: now,
-        };
+        let mut subscription =
+            Subscription { registry, random, state, stretch: 1.0, repeats: 0, without_since: now };
         subscription.wait_for_first(now);
         subscription
     }
@@ -137,7 +129,7 @@
             return;
         }
         self.state = State::Open;
-        (self.failures, self.repeats) = (0, 0);
+        self.repeats = 0;
         self.stretch = (self.stretch * STRETCH_KEPT).max(1.0);
     }
 
@@ -198,8 +190,7 @@
             self.state = State::Waiting { until: now + Micros(pause.0 << self.repeats) };
             return;
         }
-        self.failures = self.failures.saturating_add(1);
-        let growth = if self.failures <= PATIENT_FAILURES { GROWTH_PATIENT } else { GROWTH };
+        let growth = if now - self.without_since < PATIENCE { GROWTH_PATIENT } else { GROWTH };
         self.stretch = (self.stretch * growth).min(STRETCH_MOST);
         let next = match self.registry {
             Registry::Own => now,
