Play discovery faults at 300 processes and show the broken drain rule by three tests

Cause: the operators' fault injection had requests sent to draining or removed upstreams hundreds of times at 300 processes, and no test of ours could show it: the beds know one outage of 8 s, and upstreams that turn new requests away.

Change: crates/emulator/tests/stale_lists plays real instances of the decision module against a discovery that is down, crowded or loses its watches, and upstreams that leave and decline, refuse or go on serving.

--- /dev/null
+++ b/crates/emulator/tests/stale_lists/directory.rs
@@ -0,0 +1,103 @@
+//! The discovery service: versions of the list, and what becomes of a call.
+
+use crate::schedule::{AnswerForm, FailureMode, Schedule, SECOND};
+use garnettally_emulator::registry::{RegistryLimits, RegistryQueue, Verdict};
+use garnettally_model::{HostList, Listed, Listing, Micros};
+
+/// As measured on a service that some hundred processes shared.
+pub const LIMITS: RegistryLimits = RegistryLimits {
+    lines_per_second: 1_609.0,
+    call_lines: 30,
+    wait_most: Micros(2 * SECOND),
+    backlog_most: Micros(5 * SECOND),
+};
+
+/// Lines of an answer, whatever its form: as measured when little has changed.
+pub const ANSWER_LINES: u32 = 5;
+
+/// A connection that does not come up is given up after this (`Limits::discovery_connect`).
+const CONNECT_TIMEOUT: Micros = Micros(SECOND);
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    Answered {
+        at: Micros,
+    },
+    /// `refused`: it was sent, and answered with a failure or not at all.
+    Failed {
+        at: Micros,
+        refused: bool,
+    },
+}
+
+pub struct Directory {
+    queue: RegistryQueue,
+}
+
+/// The name of an upstream, and back.
+pub fn name_of(upstream: usize) -> String {
+    format!("upstream-{upstream}")
+}
+
+pub fn number_of(name: &str) -> usize {
+    name.rsplit('-').next().and_then(|n| n.parse().ok()).expect("a name of this bed")
+}
+
+fn entry(upstream: usize, state: Listed) -> (Listing, Option<std::net::SocketAddr>) {
+    let name = name_of(upstream);
+    let listing = Listing { name, zone: None, kind: None, cell: 0, state, units: 1.0, since: None };
+    (listing, None)
+}
+
+impl Directory {
+    pub fn new(schedule: &Schedule) -> Directory {
+        let mut queue = RegistryQueue::new(LIMITS);
+        schedule.outages.iter().for_each(|o| queue.set_down(o.from, o.until));
+        Directory { queue }
+    }
+
+    pub fn call(&mut self, schedule: &Schedule, now: Micros) -> CallEnd {
+        match schedule.outage_at(now).map(|o| o.failure) {
+            Some(FailureMode::RefusesAtOnce) => CallEnd::Failed { at: now, refused: true },
+            Some(FailureMode::NoConnection) => CallEnd::Failed { at: now, refused: false },
+            Some(FailureMode::Unreachable) => CallEnd::Failed { at: now + CONNECT_TIMEOUT, refused: false },
+            Some(FailureMode::RefusesLate) | None => match self.queue.call(now, ANSWER_LINES) {
+                Verdict::Answered { at } => CallEnd::Answered { at },
+                Verdict::Refused { at } => CallEnd::Failed { at, refused: true },
+            },
+        }
+    }
+
+    /// The list of a process that was told of these departures and no others.
+    pub fn list_held(schedule: &Schedule, is_told: impl Fn(usize) -> bool) -> HostList {
+        let state = |upstream: usize| {
+            let departure = schedule.departures.iter().enumerate().find(|(_, d)| d.upstream == upstream);
+            departure.filter(|(n, _)| is_told(*n)).map_or(Listed::Ready, |(_, d)| d.listed)
+        };
+        let listed = (0..schedule.upstreams).map(|u| entry(u, state(u)));
+        HostList { seq: 0, whole: true, hosts: listed.filter(|(l, _)| l.state != Listed::Gone).collect() }
+    }
+
+    /// What is written to a process that was told of what `is_told` says, at this time.
+    pub fn answer(schedule: &Schedule, now: Micros, is_told: impl Fn(usize) -> bool) -> HostList {
+        let past = schedule.departures.iter().enumerate().filter(|(_, d)| d.at <= now);
+        match schedule.answers {
+            AnswerForm::Changes => {
+                let hosts = past.filter(|(n, _)| !is_told(*n)).map(|(_, d)| entry(d.upstream, d.listed));
+                HostList { seq: 0, whole: false, hosts: hosts.collect() }
+            }
+            AnswerForm::WholeList => {
+                let left: Vec<usize> = past.map(|(_, d)| d.upstream).collect();
+                let stay = (0..schedule.upstreams).filter(|u| !left.contains(u));
+                HostList { seq: 0, whole: true, hosts: stay.map(|u| entry(u, Listed::Ready)).collect() }
+            }
+        }
+    }
+
+    /// The line on one departure.
+    pub fn change(schedule: &Schedule, departure: usize) -> HostList {
+        let d = &schedule.departures[departure];
+        HostList { seq: 0, whole: false, hosts: vec![entry(d.upstream, d.listed)] }
+    }
+}
