Hand the state of the watch over to new settings, and shorten a list's lease where dials are slow

And what is decided just before a lease ends is written only when its connection is up.

Change: Balancer::take_over_watch has the new instance go on from the old one's subscription; the pool that takes over the source hears how its watch stands, as a report that still waits for the old one would be lost. The lease is 6 s, less what the dial time-out and 0.15 s of being held up exceed the grace by.

--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -383,8 +383,7 @@
         let in_file = in_file.map(str::parse).transpose();
         let seed = u64::from_str_radix(&raw.seed, 16);
         let mut site = raw.settings.site().map_err(|e| format!("{path}: {e}"))?;
-        // On sockets whatever discovery has to tell counts as told so soon, whatever settings say.
-        site.settings.list_lease = Settings::default().list_lease;
+        site.settings.list_lease = Some(list_lease(&raw.settings));
         if !site.settings.must_ask {
             // On sockets a list is pushed by a watch, too, and what its agent has counts as told at once: the watch
             // is asked for at the start and, when it ends, again without a pause.
@@ -433,6 +432,16 @@
     }
 }
 
+/// On sockets, whatever discovery has to tell counts as told 6 s after it could be asked for, whatever settings say. What
+/// is decided until then may wait for a connection, and for a processor: the grace covers that, or else the lease does.
+fn list_lease(settings: &Facts<'_>) -> Micros {
+    const TOLD_AFTER: Micros = Micros(6_000_000);
+    const HELD_UP: Micros = Micros(150_000);
+    let grace = Micros(settings.contract.drain_grace_us.unwrap_or(0));
+    let connecting = Micros(settings.limits.dial_timeout_us.unwrap_or(0));
+    TOLD_AFTER + (grace - HELD_UP - connecting).min(Micros(0))
+}
+
 fn from_json<'a, T: Deserialize<'a>>(json: &'a [u8]) -> Result<T, String> {
     let mut from = serde_json::Deserializer::from_slice(json);
     let value = serde_path_to_error::deserialize(&mut from).map_err(|e| match e.path().to_string() {
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -199,6 +199,11 @@
         self.handle(now, event)
     }
 
+    /// Another module has asked for the watch until now, and this one does from here on.
+    pub fn take_over_watch(&mut self, before: &Decisions) {
+        self.balancer.take_over_watch(&before.balancer);
+    }
+
     /// So many instances share the upstreams from now on, and this is the number, from 0, of this one.
     pub fn share(&mut self, instances: u32, me: u32) {
         self.balancer.share(instances.max(1), me.min(instances.saturating_sub(1)));
--- a/crates/decisions/src/rules.rs
+++ b/crates/decisions/src/rules.rs
@@ -942,6 +942,14 @@
         self.subscription.iter_mut().for_each(|s| s.set_instances(instances));
     }
 
+    /// Another instance has asked for the watch until now, and this one does from here on. What it was told, and when,
+    /// goes on binding.
+    pub fn take_over_watch(&mut self, before: &Balancer) {
+        if let (Some(mine), Some(theirs)) = (&mut self.subscription, &before.subscription) {
+            mine.go_on_from(theirs);
+        }
+    }
+
     /// The servers, for those who tell others of them.
     pub fn servers(&self) -> &[Server] {
         &self.servers
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -387,6 +387,25 @@
     assert_eq!(watches(&t), 0);
 }
 
+/// Guards against a list that new settings make as good as new: what the module before could not be told of binds the one
+/// that takes over.
+#[test]
+fn a_module_that_takes_over_a_lost_watch_sends_nothing_by_a_stale_list() {
+    let set = Settings { must_ask: true, ..settings(Effect::Safe) };
+    let mut before = Bench::new(set.clone(), 3);
+    let since = before.now;
+    before.tell(Event::Unwatched { since, failure: CallFailure::Refused });
+    let mut after = Bench::starting_from(Form::Cached, set, 3);
+    after.now = before.now + Micros(5_000_000);
+    after.b.take_over_watch(&before.b);
+    assert!(after.ask(1, 10_000).is_some(), "the list is good for a second yet");
+    after.now += Micros(1_500_000);
+    assert_eq!(after.ask(2, 10_000), None);
+    // The watch that it goes on waiting for has come.
+    after.tell(Event::List { form: Form::Delta, entries: &[] });
+    assert!(after.sent().is_some());
+}
+
 /// Guards against requests to leaving servers by a process that has lost its watch: whatever it was not told of
 /// binds 6 s after discovery had it. Only servers that took a call of late are sure to stay; where there is none of
 /// these, the list is all there is.
--- a/crates/serve/src/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -67,6 +67,14 @@
         self.watch.as_ref().filter(|w| w.heard.is_some()).map(|_| self.held.unchanged())
     }
 
+    /// How the watch stands, for a module that takes it over; `None`: its call is out.
+    pub fn standing(&self) -> Option<Report> {
+        match self.watch {
+            Some(_) => self.watched().map(Report::Hosts),
+            None => Some(Report::WatchFailed { silent: Duration::ZERO, failure: CallFailure::Unreachable }),
+        }
+    }
+
     /// When silence ends the watch.
     pub fn deadline(&self) -> Option<Instant> {
         self.watch.as_ref().map(|w| w.deadline)
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -131,17 +131,20 @@
     }
 
     /// Has `to` take over the source of `from` with all that it has told; both go on hearing of it.
-    pub fn hand_over_source(&mut self, from: PoolId, to: PoolId) {
-        let Some(source) = self.all.get_mut(&from).map(|p| std::mem::replace(&mut p.source, Source::Static))
-        else {
-            return;
-        };
+    pub fn hand_over_source(&mut self, from: PoolId, to: PoolId, now: Instant) {
+        let Some(mut taken_over) = self.all.remove(&to) else { return };
+        if let Some(before) = self.all.get_mut(&from) {
+            taken_over.source = std::mem::replace(&mut before.source, Source::Static);
+            taken_over.decisions.take_over_watch(&before.decisions);
+        }
+        // What the module before has not heard of yet would never reach this one.
+        if let Some(standing) = taken_over.source.standing() {
+            taken_over.queue(standing, now);
+        }
+        self.all.insert(to, taken_over);
         for p in self.told_by(from) {
             p.told_with = Some(to);
         }
-        if let Some(p) = self.all.get_mut(&to) {
-            p.source = source;
-        }
     }
 
     /// The pool of this name that takes requests.
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -118,7 +118,7 @@
         self.reload.versions += 1;
         let seed = self.seed.rotate_left(7) ^ self.reload.versions;
         let new = self.add_pool(plan, seed, now);
-        self.pools.hand_over_source(old, new);
+        self.pools.hand_over_source(old, new, now);
         self.reload.settings = Some(print);
         self.reload.retiring = Some((old, new, now + self.net.limits.reload_wait));
         info!(self.net.log, "new settings are taken"; "classes" => config.site.settings.classes.len());
--- a/crates/serve/src/source.rs
+++ b/crates/serve/src/source.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// How its watch stands, for a module that takes it over.
+    pub fn standing(&self) -> Option<Report> {
+        match self {
+            Source::Watch(discovery) => discovery.standing(),
+            _ => None,
+        }
+    }
+
     /// When it has something to do without being told.
     pub fn next_wake(&self) -> Option<Instant> {
         match self {
--- a/crates/subscription/src/crowding.rs
+++ b/crates/subscription/src/crowding.rs
@@ -24,7 +24,7 @@
 }
 
 /// What the last calls came to.
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct RefusalHistory {
     last_at_once: Option<Micros>,
     last_after_waiting: Option<Micros>,
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -157,6 +157,18 @@
         Subscription { list_lease, ..self }
     }
 
+    /// Goes on from where another one is, which asked for the same watch until now; the size of the fleet and the lease stay
+    /// its own.
+    pub fn go_on_from(&mut self, before: &Subscription) {
+        self.state = before.state;
+        self.stretch = before.stretch;
+        self.repeats = before.repeats;
+        self.refusals = before.refusals;
+        self.complete_until = before.complete_until;
+        self.seems_down = before.seems_down;
+        self.is_first = before.is_first;
+    }
+
     /// The number of instances has changed; it holds from the next pause on.
     pub fn set_instances(&mut self, count: u32) {
         if let Registry::Shared { instances } = &mut self.registry {
