--- a/crates/emulator/tests/stale_lists/main.rs
+++ b/crates/emulator/tests/stale_lists/main.rs
@@ -80,13 +80,14 @@
     assert_eq!(breaches, 0);
 }
 
-/// How many schedules are drawn for each size: `STALE_LISTS_SEEDS=200 cargo test --release -p garnettally-emulator
-/// --test stale_lists drawn -- --nocapture` plays many.
+/// How many schedules are drawn, and for a fleet of which size alone: `STALE_LISTS_SEEDS=200 STALE_LISTS_PROCESSES=300 cargo
+/// test --release -p garnettally-emulator --test stale_lists drawn -- --nocapture` plays many.
 const SEEDS_VARIABLE: &str = "STALE_LISTS_SEEDS";
+const PROCESSES_VARIABLE: &str = "STALE_LISTS_PROCESSES";
 const SEEDS: u64 = 2;
 
-fn seeds() -> u64 {
-    std::env::var(SEEDS_VARIABLE).ok().and_then(|n| n.parse().ok()).unwrap_or(SEEDS)
+fn variable<T: std::str::FromStr>(name: &str) -> Option<T> {
+    std::env::var(name).ok().and_then(|value| value.parse().ok())
 }
 
 /// What drawn schedules came to.
@@ -122,7 +123,7 @@
 /// Plays drawn schedules; returns the sums of those in which the service can answer all in time, and of the others.
 fn play_drawn(processes: u32) -> (Sum, Sum) {
     let (mut in_time, mut too_many) = (Sum::default(), Sum::default());
-    for seed in 1..=seeds() {
+    for seed in 1..=variable(SEEDS_VARIABLE).unwrap_or(SEEDS) {
         let schedule = Schedule::any(seed, processes);
         let fits = schedule.time_to_answer_all() <= ANSWERED_IN_TIME;
         let course = look(&format!("{}{schedule}", if fits { "" } else { "too many calls: " }), &schedule);
@@ -135,7 +136,8 @@
 
 #[test]
 fn under_drawn_faults_nothing_goes_to_upstreams_that_have_left() {
-    for processes in [10, 100, 200, PROCESSES] {
+    let sizes = variable(PROCESSES_VARIABLE).map_or(vec![10, 100, 200, PROCESSES], |size| vec![size]);
+    for processes in sizes {
         let (in_time, _) = play_drawn(processes);
         assert_eq!(in_time.breaches, 0, "{processes} processes");
     }
--- a/tests/swamped.rs
+++ b/tests/swamped.rs
@@ -28,6 +28,12 @@
     backlog_most: Micros(5_000_000),
 };
 
+/// A call takes 0.13 s, and one of each process 3.9 s: all can be answered before what they ask for binds.
+const FASTER_LIMITS: RegistryLimits = RegistryLimits { lines_per_second: 240.0, ..LIMITS };
+
+/// The number of instances that each is told there: so many fill a cycle of 3.9 s.
+const FEWER_INSTANCES: usize = 177;
+
 /// One list, or an empty line.
 const ANSWER_LINES: u32 = 1;
 
@@ -76,6 +82,8 @@
     /// The line on what has changed since the known list.
     change: Option<String>,
     subscribers: Vec<Subscriber>,
+    /// Watches that are open and carry nothing any more.
+    silent: Vec<TcpStream>,
 }
 
 impl State {
@@ -122,6 +130,13 @@
         self.change = Some(line);
     }
 
+    /// All watches fall silent, and calls are queued from now on.
+    fn fall_silent(&mut self) {
+        self.is_busy = true;
+        let watches: Vec<TcpStream> = self.subscribers.iter_mut().filter_map(|s| s.watch.take()).collect();
+        self.silent.extend(watches);
+    }
+
     /// Begins an outage: all watches are reset.
     fn go_down(&mut self, time: Duration) {
         let now = self.since_start(Instant::now());
@@ -144,10 +159,17 @@
 }
 
 impl SharedDiscovery {
-    fn start(processes: usize) -> SharedDiscovery {
+    fn start(processes: usize, limits: RegistryLimits) -> SharedDiscovery {
         let subscribers = (0..processes).map(|_| Subscriber::default()).collect();
-        let queue = RegistryQueue::new(LIMITS);
-        let state = State { queue, started: Instant::now(), is_busy: false, change: None, subscribers };
+        let queue = RegistryQueue::new(limits);
+        let state = State {
+            queue,
+            started: Instant::now(),
+            is_busy: false,
+            change: None,
+            subscribers,
+            silent: Vec::new(),
+        };
         let state = Arc::new(Mutex::new(state));
         let addresses = (0..processes).map(|process| accept_calls(process, state.clone())).collect();
         let pushed = state.clone();
@@ -206,9 +228,10 @@
     }
 }
 
-/// The upstream that drains: it serves until the grace is over, and declines what comes then.
+/// The upstream that drains: it serves until the grace is over, and declines what comes then, or serves that, too.
 #[derive(Clone, Default)]
 struct Draining {
+    goes_on_serving: bool,
     since: Arc<Mutex<Option<Instant>>>,
     /// Which processes have sent requests to it, and when they came.
     arrivals: Arc<Mutex<Vec<(usize, Instant)>>>,
@@ -223,7 +246,7 @@
     fn reply(&self, message: &Message) -> Reply {
         self.arrivals.lock().unwrap().push((sender(message), Instant::now()));
         let since = *self.since.lock().unwrap();
-        match since.is_some_and(|since| since.elapsed() > GRACE) {
+        match since.is_some_and(|since| since.elapsed() > GRACE) && !self.goes_on_serving {
             true => error(503, "Srv-Declined: 1\r\n"),
             false => ok("x"),
         }
@@ -261,10 +284,10 @@
     look("1.2").replace("/look/part?", &format!("/look/p{process}?"))
 }
 
-fn start_processes(discovery: &SharedDiscovery, known: &[String]) -> Vec<Balancer> {
+fn start_processes(discovery: &SharedDiscovery, instances: usize, known: &[String]) -> Vec<Balancer> {
     let start = |(me, at): (usize, &SocketAddr)| {
         let address = free_address();
-        let told = format!(r#""Me":{me},"NInstances":{INSTANCES}"#);
+        let told = format!(r#""Me":{me},"NInstances":{instances}"#);
         let text = config(address, *at, 1024, known).replace(r#""Me":0,"NInstances":1"#, &told);
         let text = text.replace("00000000000000a1", &format!("{:016x}", 0xa1 + me));
         let config = config_file(&text);
@@ -319,42 +342,81 @@
     );
 }
 
+/// Processes with requests on them, and three upstreams, the first of which drains when it is told to.
+struct Scene {
+    discovery: SharedDiscovery,
+    draining: Draining,
+    drains: Upstream,
+    stop: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<(usize, usize)>>,
+    _processes: Vec<Balancer>,
+    _stay: [Upstream; 2],
+}
+
+impl Scene {
+    fn start(limits: RegistryLimits, instances: usize, draining: Draining) -> Scene {
+        let drains = draining.start_upstream();
+        let stay = [Upstream::start(|_| ok("x")), Upstream::start(|_| ok("x"))];
+        let serving = |name: &str, up: &Upstream| host(name, up.address, 0, "SERVING");
+        let known = [serving("d", &drains), serving("s0", &stay[0]), serving("s1", &stay[1])];
+        let discovery = SharedDiscovery::start(PROCESSES, limits);
+        let processes = start_processes(&discovery, instances, &known);
+        let stop = Arc::new(AtomicBool::new(false));
+        let send = |(n, b): (usize, &Balancer)| send_requests(n, b.address, stop.clone());
+        let clients = processes.iter().enumerate().map(send).collect();
+        assert_eq!(discovery.wait_for_watches(PATIENCE), PROCESSES, "watches before the trouble");
+        Scene { discovery, draining, drains, stop, clients, _processes: processes, _stay: stay }
+    }
+
+    /// The upstream drains from now on, and discovery knows.
+    fn drain(&self) {
+        let entries = [host("d", self.drains.address, 0, "DRAINING")];
+        *self.draining.since.lock().unwrap() = Some(Instant::now());
+        self.discovery.state().change(list(KNOWN_VERSION + 1, false, &entries) + "\n");
+    }
+
+    /// Ends the requests, and checks that the upstream was left in time.
+    fn finish(self) {
+        thread::sleep(GRACE + LAG);
+        self.stop.store(true, Ordering::SeqCst);
+        let served: Vec<_> = self.clients.into_iter().map(|c| c.join().unwrap()).collect();
+        let sum = |of: fn(&(usize, usize)) -> usize| served.iter().map(of).sum::<usize>();
+        println!("{} of {} served", sum(|s| s.0), sum(|s| s.1));
+        let told: Vec<_> = self.discovery.state().subscribers.iter().map(|s| s.told).collect();
+        self.draining.assert_left_in_time(&told);
+    }
+}
+
 /// Guards against processes that, after an outage, ask for so much in vain that nobody is answered in time any more.
 #[test]
 fn after_an_outage_all_have_their_watches_again_and_leave_an_upstream_that_drains() {
-    let draining = Draining::default();
-    let drains = draining.start_upstream();
-    let stay = [Upstream::start(|_| ok("x")), Upstream::start(|_| ok("x"))];
-    let serving = |name: &str, up: &Upstream| host(name, up.address, 0, "SERVING");
-    let known = [serving("d", &drains), serving("s0", &stay[0]), serving("s1", &stay[1])];
-    let discovery = SharedDiscovery::start(PROCESSES);
-    let processes = start_processes(&discovery, &known);
-    let stop = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> =
-        processes.iter().enumerate().map(|(n, b)| send_requests(n, b.address, stop.clone())).collect();
-    assert_eq!(discovery.wait_for_watches(PATIENCE), PROCESSES, "watches before the outage");
-
+    let scene = Scene::start(LIMITS, INSTANCES, Draining::default());
+    let discovery = &scene.discovery;
     discovery.state().go_down(OUTAGE);
     thread::sleep(OUTAGE);
     let (returned, before) = (Instant::now(), discovery.state().queue.figures());
     thread::sleep(DRAINS_AFTER);
-    let entries = [host("d", drains.address, 0, "DRAINING")];
-    *draining.since.lock().unwrap() = Some(Instant::now());
-    discovery.state().change(list(KNOWN_VERSION + 1, false, &entries) + "\n");
+    scene.drain();
     let open = discovery.wait_for_watches(ALL_WITHIN - DRAINS_AFTER);
-    thread::sleep(GRACE + LAG);
-    stop.store(true, Ordering::SeqCst);
-    let served: Vec<_> = clients.into_iter().map(|c| c.join().unwrap()).collect();
-    println!(
-        "{} of {} served",
-        served.iter().map(|s| s.0).sum::<usize>(),
-        served.iter().map(|s| s.1).sum::<usize>()
-    );
-
     print_course(&discovery.state(), returned, before);
     assert_eq!(open, PROCESSES, "watches {ALL_WITHIN:?} after the return");
     let calls = discovery.state().queue.figures().calls - before.calls;
     assert!(calls <= CALLS_MOST * PROCESSES as u64, "{calls} calls after the return");
-    let told: Vec<_> = discovery.state().subscribers.iter().map(|s| s.told).collect();
-    draining.assert_left_in_time(&told);
+    scene.finish();
+}
+
+/// Guards against processes that learn too late that their watches have fallen silent, and take an upstream that goes on
+/// serving while it drains for one that stays.
+#[test]
+fn after_a_silence_of_all_watches_nothing_goes_to_an_upstream_that_drains_and_serves() {
+    let scene = Scene::start(
+        FASTER_LIMITS,
+        FEWER_INSTANCES,
+        Draining { goes_on_serving: true, ..Draining::default() },
+    );
+    scene.discovery.state().fall_silent();
+    scene.drain();
+    let open = scene.discovery.wait_for_watches(ALL_WITHIN);
+    assert_eq!(open, PROCESSES, "watches {ALL_WITHIN:?} after the silence");
+    scene.finish();
 }
