Cut the decision module into a file for each decision, and mend a test of the pace

Change: crates/decisions/src/balancer has admission, selection, retry, concurrency_limit, outlier_ejection, slow_start, membership, list_freshness and the paper's board, pricing and period, no line of them changed but for visibility.

--- /dev/null
+++ b/crates/decisions/src/balancer/concurrency_limit.rs
@@ -0,0 +1,73 @@
+//! The concurrency limit: how many calls may be in flight, by kind of server.
+
+use super::*;
+
+pub(super) const CROWDED: f64 = 0.25; // mean square of time over aim: exponential times, a third of the aim on average
+const CROWD_SILENT: f64 = 0.375; // most that an unanswered call adds to it: a few hung servers are no crowd
+const CROWD_MOST: f64 = 0.15; // most weight of one call in it: a single late one must not close the limit
+const STRETCH: f64 = 2.2; // served over uncrowded time past which it closes: more wait than run
+pub(super) const STRETCH_MEAN: f64 = 1.0 / 64.0; // weight of a call in the present time: its mean is sure to a fifth
+const STRETCH_DRIFT: f64 = 1e-3; // of the uncrowded time towards it each period: forgotten in minutes
+pub(super) const LIMIT_FIRST: f64 = 6.0; // the concurrency limit at first, per server
+pub(super) const LIMIT_CHANCE: f64 = 2.0; // and roots of an instance's share of it, as room for chance
+const LIMIT_LEAST: f64 = 4.0; // its floor per server: at fewer, those that wait on others would idle
+const LIMIT_DOWN: f64 = 0.07; // its step down each period, times the crowding over its bound
+const LIMIT_DOWN_MOST: f64 = 0.25;
+const LIMIT_UP: f64 = 0.05; // its step up, by what is spare, once this part of it is out
+const LIMIT_BINDS: f64 = 0.8;
+
+impl Balancer {
+    /// Crowding: time over aim, squared. What ended unanswered or was turned away is no silence.
+    pub(super) fn crowding(&mut self, server: ServerId, class: usize, o: &Outcome) {
+        let pool = &mut self.pools[self.servers[server.0 as usize].pool];
+        // Lateness counts by what it costs: less where a late answer still earns something.
+        let of = &self.set.classes[class];
+        let part = (o.latency.0 as f64 / of.aim.0.max(1) as f64).powi(2) * (1.0 - of.late_worth).max(0.0);
+        let part = match o.code {
+            Code::Ok => part,
+            Code::Timeout | Code::Cancelled if part > pool.crowd => part.min(CROWD_SILENT),
+            Code::Full => 1.0,
+            _ => return,
+        };
+        let k = Self::signal_weight(self.now - pool.crowd_at).min(CROWD_MOST);
+        pool.crowd_at = self.now;
+        pool.crowd += k * (part.min(2.0) - pool.crowd);
+    }
+
+    /// The limit is that of the servers at hand and follows what they carry, cold and ejected ones less or
+    /// nothing. Where it stayed, callers of half the servers sent each twice what it was found to bear.
+    pub(super) fn scale_limit(&mut self) {
+        let before: Vec<f64> = self.pools.iter_mut().map(|p| std::mem::take(&mut p.carry)).collect();
+        for s in self.ring.iter().map(|&(_, i)| &self.servers[i as usize]) {
+            if s.marks.first().is_none_or(|m| m.ejected_until.is_none()) {
+                self.pools[s.pool].carry += s.news.since.map_or(1.0, |t| self.warmth(t));
+            }
+        }
+        for (p, before) in self.pools.iter_mut().zip(before) {
+            if p.carry == 0.0 {
+                p.carry = before; // none is left to send to, and what comes back is no growth
+            } else if before > 0.0 {
+                p.limit *= p.carry / before;
+            }
+        }
+    }
+
+    /// Overload: the concurrency limit shrinks while served times take too much of the aim, and grows when it
+    /// binds though they don't. Guards against crowding, which shows in time over the aim, or, where that is
+    /// far off, over the uncrowded time: servers may tire of a queue that calls have time for.
+    pub(super) fn adapt_limit(&mut self) {
+        for p in &mut self.pools {
+            let stretch = p.base.map_or(0.0, |base| (p.log - base) / STRETCH.ln());
+            p.base = p.base.map(|base| base + STRETCH_DRIFT * (p.log - base));
+            let crowd = p.crowd.max(CROWDED * stretch);
+            if crowd > CROWDED {
+                let least = LIMIT_LEAST * p.ready / f64::from(self.set.instances.max(1));
+                let down = (LIMIT_DOWN * crowd / CROWDED).min(LIMIT_DOWN_MOST);
+                p.limit = (p.limit * (1.0 - down)).max(least);
+            } else if p.out as f64 + self.chance >= LIMIT_BINDS * p.limit {
+                let spare = 1.0 - crowd / CROWDED;
+                p.limit = (p.limit * (1.0 + LIMIT_UP * spare)).min(1e6);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/balancer/list_freshness.rs
@@ -0,0 +1,32 @@
+//! How far the list can be trusted while there is no watch on discovery.
+
+use super::*;
+
+const PROOF_LASTS: Micros = Micros(5_000_000); // changes go untold for 6 s, less the wait for a connection
+pub(super) const NEVER: Micros = Micros(i64::MIN / 2);
+
+impl Balancer {
+    /// The watch is lost, or could not be had; up to `since` it would have told of every change.
+    pub(super) fn unwatched(&mut self, since: Micros, failure: CallFailure) {
+        if self.subscription.as_mut().is_some_and(|s| s.failed(self.now, since, failure)) {
+            self.servers.iter_mut().for_each(|s| s.proven = s.proven.max(since));
+        }
+    }
+
+    /// Whether it is likely to stay. While nothing tells of changes, what took a call of late is, and what
+    /// turned one away is not. Harm: fewer servers for as long as discovery is out of reach.
+    pub(super) fn trusted(&self, s: &Server) -> bool {
+        self.is_watched() || self.now - s.proven < PROOF_LASTS
+    }
+
+    /// Whether discovery tells of changes as they come.
+    pub(super) fn is_watched(&self) -> bool {
+        self.subscription.as_ref().is_none_or(|s| s.is_open())
+    }
+
+    /// Whether the list may lack changes that bind already: then nothing goes out. A server that leaves may
+    /// well go on answering. Harm: requests wait, and are refused, until the watch is back.
+    pub(super) fn list_is_stale(&self) -> bool {
+        self.subscription.as_ref().is_some_and(|s| s.is_stale(self.now))
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/balancer/outlier_ejection.rs
@@ -0,0 +1,215 @@
+//! Outlier ejection: servers far worse than their peers get nothing for a while, but for a trial.
+
+use super::*;
+
+pub(super) const OVERDUE: f64 = 8.0; // multiple of the expected time: 1 in 3,000 of exponential times
+pub(super) const BAD_MEAN: f64 = 0.3; // least weight of one outcome in the outlier score
+pub const BAD_EJECT: f64 = 0.4; // the score that ejects, above twice the peers' own
+const BAD_WELL: f64 = 0.1; // the score under which a server is well again
+const SLOW_FROM: f64 = 4.0; // an answer is bad from this multiple of its expected time: 1 in 50
+const SLOW_OVER: f64 = 8.0; // and wholly bad so many multiples later
+const EJECT_FIRST: Micros = Micros(1_000_000); // a few times a call; doubled up to what discovery takes
+const EJECT_DOUBLINGS: u32 = 4;
+const EJECT_SHARE: usize = 3; // panic threshold: one in so many; beyond it the trouble is not theirs alone
+
+impl Balancer {
+    /// Not ejected, as a whole or for the class; or due for a single trial, by what is safe to repeat, or,
+    /// where none such has come for as long again, by anything: it must come back too.
+    pub(super) fn eligible(&self, s: &Server, class: usize) -> bool {
+        let keys = [s.marks.first(), s.marks.get(class + 1)];
+        keys.into_iter().flatten().all(|m| match m.ejected_until {
+            None => true,
+            Some(until) => {
+                let safe = matches!(self.set.classes[class].effect, Effect::Safe);
+                let due = until + if safe { Micros(0) } else { doubled(self.back_off(), m.strikes) };
+                self.now >= due && !m.trial && s.flights.is_empty() && (m.heard == 0.0 || m.tries)
+            }
+        })
+    }
+
+    /// The first back-off: never shorter than it takes to come round to the same server again.
+    pub(super) fn back_off(&self) -> Micros {
+        let round = self.members.len() as f64 / self.st.nr.max(0.01) * PERIOD.0 as f64;
+        EJECT_FIRST.max(Micros(round as i64)).min(Micros(EJECT_FIRST.0 << EJECT_DOUBLINGS))
+    }
+
+    /// One outcome's part in the outlier scores: of the server, and of the server for the class. What the
+    /// class's own score tells already speaks less against the server. Harm: a good one may rest.
+    pub(super) fn judge(&mut self, server: ServerId, class: usize, expected: f64, part: f64, o: &Outcome) {
+        let (now, first) = (self.now, self.back_off());
+        let s = &mut self.servers[server.0 as usize];
+        let Some(i) = s.flights.iter().position(|f| f.id == o.id && f.attempt == o.attempt) else { return };
+        let flight = s.flights.swap_remove(i);
+        self.pools[s.pool].out -= 1;
+        s.shut = o.code == Code::ConnectFailed;
+        s.proven = match o.code {
+            Code::Ok | Code::Error => s.proven.max(flight.sent),
+            Code::Full | Code::ConnectFailed => NEVER,
+            _ => s.proven,
+        };
+        if !matches!(o.code, Code::ConnectFailed | Code::Moot | Code::Reset) {
+            (s.idle, s.idle_since) = (s.idle + 1, now);
+        }
+        if let Some(held) = o.load.and_then(|l| l.held) {
+            s.held = Some((held, now));
+            self.st.held += CALL_MEAN * (held - self.st.held);
+        }
+        let bad = match o.code {
+            // Slow answers tell of a slow server as time-outs do, from further off: work is heavy-tailed.
+            Code::Ok => ((o.latency.0 as f64 / expected - SLOW_FROM) / SLOW_OVER).clamp(0.0, 1.0),
+            Code::Error | Code::Reset | Code::ConnectFailed => 1.0,
+            // One that was overdue has told; another tells as much as it was late when its time was up.
+            Code::Timeout | Code::Cancelled if flight.overdue => {
+                return marks_of(s, class).for_each(|m| m.tried(now, first, false));
+            }
+            Code::Timeout => ((o.latency.0 as f64 / expected - 1.0) / 3.0).clamp(0.0, 1.0),
+            _ => return marks_of(s, class).for_each(|m| m.trial = false),
+        } * part;
+        s.last_ok = if bad == 0.0 { now } else { s.last_ok };
+        score(s, class, bad, now);
+        // Called gone, it answers: the list is wrong. Or nobody is there.
+        if s.doubted && bad == 0.0 {
+            (s.doubted, self.stale) = (false, true);
+        } else if s.doubted && o.code == Code::ConnectFailed {
+            let out = now + doubled(first, EJECT_DOUBLINGS);
+            let struck =
+                Mark { bad: 1.0, ejected_until: Some(out), strikes: EJECT_DOUBLINGS, ..Mark::default() };
+            s.marks[0] = Mark { own: true, ..struck };
+        }
+        for m in marks_of(s, class) {
+            let was = m.ejected_until.is_some();
+            m.tried(now, first, bad < 0.5);
+            self.stale |= was && m.ejected_until.is_none();
+        }
+    }
+
+    /// An attempt far past its expected time speaks against its server, if nothing was answered since it
+    /// went out: a hung server shows in nothing else. Where rule 2 and the budget let it, it is called off.
+    /// Harm: a heavy call ejects a good server for a while. One that still answers is left alone.
+    pub(super) fn overdue(&mut self, actions: &mut Vec<Action>) {
+        let now = self.now;
+        let mut silent = Vec::new();
+        for &i in &self.busy {
+            let s = &mut self.servers[i as usize];
+            let mut told = Vec::new();
+            for f in s.flights.iter_mut().filter(|f| !f.overdue && f.overdue_at <= now) {
+                f.overdue = true;
+                told.extend((s.last_ok <= f.sent).then_some((f.id, f.attempt, f.class)));
+            }
+            told.iter().for_each(|&(_, _, class)| score(s, class, 1.0, now));
+            silent.extend(told);
+        }
+        for (id, attempt, _) in silent {
+            let Some(r) = self.requests.get(&id).filter(|r| !r.over && self.set.may_cancel) else { continue };
+            let again = !matches!(self.set.classes[r.class].effect, Effect::Unsafe)
+                && r.attempts.len() < self.set.max_attempts as usize;
+            // A hung attempt must not cost those that wait for its key their time.
+            let behind = r.key.and_then(|k| self.turns.get(&k)).is_some_and(|t| t.queue.len() > 1);
+            if behind || (again && self.retry_tokens >= 1.0 && self.value(id, r, IN_TIME) > 0.0) {
+                actions.push(Action::Cancel { id, attempt });
+            }
+        }
+    }
+
+    /// Ejects servers far worse than their peers, the worst first, up to a capped share. Relative, since the
+    /// callers of a failing lower tier all err together, and nobody is to be ejected for that.
+    pub(super) fn eject(&mut self, actions: &mut Vec<Action>) {
+        let members = self.members.iter().map(|&i| &self.servers[i as usize]);
+        let (mut n, mut ejected, mut sum, mut hot) = (0, 0, Vec::new(), Vec::new());
+        for s in members.filter(|s| s.news.state == Listed::Ready) {
+            n += 1;
+            sum.resize(sum.len().max(s.marks.len()), 0.0);
+            ejected += usize::from(s.marks.iter().any(|m| m.ejected_until.is_some()));
+            for (key, m) in s.marks.iter().enumerate() {
+                // Own fresh experience goes before hearsay.
+                let bad = if m.heard_at > s.last_ok { m.bad.max(m.heard) } else { m.bad };
+                sum[key] += bad;
+                if m.ejected_until.is_none() && bad >= BAD_EJECT {
+                    hot.push((bad, s.news.server.0 as usize, key, doubled(self.back_off(), m.strikes)));
+                }
+            }
+        }
+        hot.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.2.cmp(&b.2)));
+        for (bad, server, key, wait) in hot {
+            let peers = (sum[key] - bad) / (n - 1).max(1) as f64;
+            // One out for a class already takes no more of the share: among few it would stay.
+            let more = self.servers[server].marks.iter().all(|m| m.ejected_until.is_none());
+            let full = more && ejected >= (n / EJECT_SHARE).max(1);
+            if n < 2 || full || bad < BAD_EJECT + 2.0 * peers {
+                continue;
+            }
+            let m = &mut self.servers[server].marks[key];
+            (m.ejected_until, m.strikes) = (Some(self.now + wait), m.strikes + 1);
+            m.own = m.bad >= BAD_EJECT;
+            ejected += usize::from(more);
+            self.stale = true;
+            if m.strikes == 1 {
+                let what = if key == 0 { String::new() } else { format!(" for class {}", key - 1) };
+                actions.push(Action::Log(format!("server {server} ejected{what}, outlier score {bad:.2}")));
+            }
+        }
+    }
+
+    /// What others found counts like an own score, under the same cap. A few of those that found it try the
+    /// server for all; with their word that it is well, or when it grows old, it is back without a trial.
+    pub(super) fn hear(&mut self, h: Hearsay, actions: &mut Vec<Action>) {
+        let key = h.class.map_or(0, |c| c.0 as usize + 1);
+        let Some(s) = self.servers.get_mut(h.server.0 as usize) else { return };
+        s.marks.resize(s.marks.len().max(key + 1), Mark::default());
+        let m = &mut s.marks[key];
+        if h.bad == 0.0 && m.heard > 0.0 && !m.tries {
+            (m.bad, m.ejected_until, m.trial) = (0.0, None, false);
+            self.stale = true;
+        }
+        (m.heard, m.heard_at, m.tries) = (h.bad, h.at, h.tries);
+        self.eject(actions);
+    }
+}
+
+/// Back-off by strikes.
+fn doubled(first: Micros, strikes: u32) -> Micros {
+    Micros((first.0 << strikes.min(EJECT_DOUBLINGS)).min(EJECT_FIRST.0 << EJECT_DOUBLINGS))
+}
+
+/// The marks that a call of the class speaks to.
+pub(super) fn marks_of(s: &mut Server, class: usize) -> impl Iterator<Item = &mut Mark> {
+    s.marks.iter_mut().enumerate().filter(move |(key, _)| *key == 0 || *key == class + 1).map(|(_, m)| m)
+}
+
+/// Books an outcome on the outlier scores. The rarer a server's outcomes, the more each one says.
+fn score(s: &mut Server, class: usize, bad: f64, now: Micros) {
+    if s.marks.is_empty() && bad == 0.0 {
+        s.last_end = now;
+        return;
+    }
+    if s.marks.len() < class + 2 {
+        s.marks.resize(class + 2, Mark::default());
+    }
+    let k = Balancer::signal_weight(now - s.last_end).max(BAD_MEAN);
+    s.last_end = now;
+    let known = if bad > 0.0 { s.marks[class + 1].bad } else { 0.0 };
+    for (key, part) in [(0, 1.0 - known), (class + 1, 1.0)] {
+        let m = &mut s.marks[key];
+        m.bad += k * part * (bad - m.bad);
+        if m.bad < BAD_WELL && m.ejected_until.is_none() && bad == 0.0 {
+            m.strikes = m.strikes.saturating_sub(1);
+        }
+    }
+}
+
+impl Mark {
+    /// How a trial went: one success halves the score, and a server well again is let back in.
+    pub(super) fn tried(&mut self, now: Micros, first: Micros, well: bool) {
+        self.trial = false;
+        let Some(until) = self.ejected_until else { return };
+        if well {
+            self.bad *= 0.5;
+            if self.bad < BAD_WELL {
+                self.ejected_until = None;
+            }
+        } else if until <= now {
+            self.ejected_until = Some(now + doubled(first, self.strikes));
+            self.strikes += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/balancer/slow_start.rs
@@ -0,0 +1,29 @@
+//! Slow start: a cold server gets no more than the part of its capacity that it is sure to have.
+
+use super::*;
+
+const COLD_PART: f64 = 0.7; // of a peer: peers 1.4 times full, a server half as fast: twice what it can
+
+impl Balancer {
+    /// Slow start. A cold server gets the ramp's fraction of most of what a warm peer gets here, by a bucket
+    /// that starts in debt by chance: all together keep the budget. How much of a core a price is worth is
+    /// not known, so no core bounds it: where that did, new servers idled while the old ones drowned.
+    pub(super) fn slow_start(&mut self, ended: f64) {
+        let rate = COLD_PART * self.st.raw / self.members.len().max(1) as f64;
+        let unit = self.st.cr / self.st.gain;
+        let window = self.set.tip_after.0 as f64 / PERIOD.0 as f64;
+        for at in 0..self.members.len() {
+            let i = self.members[at] as usize;
+            let Some(since) = self.servers[i].news.since else { continue };
+            let fill = self.warmth(since) * rate;
+            let s = &mut self.servers[i];
+            s.bucket = (s.bucket + fill * ended).min((fill * window).max(unit));
+        }
+    }
+
+    /// The part of its capacity that a server is sure to have that started at this time.
+    pub(super) fn warmth(&self, since: Micros) -> f64 {
+        let age = (self.now - since).0 as f64 / self.set.ramp_time.0.max(1) as f64;
+        self.set.cold_share + (1.0 - self.set.cold_share) * age.clamp(0.0, 1.0)
+    }
+}
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -1,7 +1,7 @@
 //! The module in blocking style: ask it to [`pick`](Decisions::pick), [`report`](Decisions::report) what
 //! came of it, and [`tick`](Decisions::tick) when it is due. Network code sees these types alone.
 
-use crate::rules::{Balancer, BAD_EJECT};
+use crate::balancer::{Balancer, BAD_EJECT};
 use crate::state::{Flight, Mark};
 use garnettally_model::{
     Action, Event, Form, Hearsay, HostList, Load, Names, NewRequest, Opinion, Outcome, Site,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -37,9 +37,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod balancer;
 pub mod facade;
-mod rules;
 mod state;
 
+pub use balancer::Balancer;
 pub use garnettally_model::*;
-pub use rules::Balancer;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -1,4 +1,4 @@
-//! What a balancer keeps: plain data and running means. It decides nothing; `rules.rs` does.
+//! What a balancer keeps: plain data and running means. It decides nothing; `balancer` does.
 
 use garnettally_model::*;
 use std::collections::VecDeque;
