Sort the errors of sockets in one place: a shortage here speaks against no upstream

Cause: an attempt for which this machine had no descriptor, port or memory ended as "could not connect", which counts against its upstream: it was avoided and ejected for what we lacked (found by reading). An error that a connection had met before it was accepted (accept(2): ENETUNREACH, EHOSTUNREACH, EPROTO and others) passed for a shortage: idle connections were closed and accepting rested. A poll for a client's close that was interrupted (EINTR) passed for "has not closed".

Change: socket_errors.rs sorts the errors of accept, socket and connect; an attempt that fails for a shortage here ends as never sent (Moot); a connection that is gone is passed over, 64 in a row at the most before a rest; an interrupted poll is made again.

Measured: the tests of the sorting, of the balancer, admin, crossings, departures, endings, outages and pools pass.

--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -4,6 +4,7 @@
 
 use crate::callers::{accept, Accepted};
 use crate::http::{write_answer, Outgoing};
+use crate::socket_errors::AcceptFailure;
 use crate::stats::Gauges;
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use calloop::generic::Generic;
@@ -223,9 +224,9 @@
         loop {
             let stream = match accept(&listener) {
                 Accepted::Stream(stream) => stream,
-                Accepted::Again => continue,
-                Accepted::Nothing => return,
-                Accepted::Failed(e) => {
+                // The listener tells again of what waits.
+                Accepted::Failed(AcceptFailure::Empty | AcceptFailure::Connection, _) => return,
+                Accepted::Failed(_, e) => {
                     // Out of descriptors: the oldest admin connection makes room, the call waits in the queue.
                     warn!(self.net.log, "an admin connection could not be taken"; "error" => %e);
                     match self.admin.conns.keys().next().copied() {
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -5,6 +5,7 @@
 use crate::http::{self, Bad, Incoming, Outgoing};
 use crate::lease::Lease;
 use crate::pools::Budgets;
+use crate::socket_errors::{accept_failure, AcceptFailure};
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
@@ -13,6 +14,7 @@
 use garnettally_routing::budget::{exceeds, HolderId, Refusal, Share};
 use rustc_hash::FxHashMap;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::Errno;
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -266,6 +268,9 @@
     /// Takes every connection that waits. At the limit idle ones make room; while none is idle, the rest
     /// wait in the kernel's queue: closing one there would lose a request that is taken already.
     pub fn accept(&mut self, at: ListenerId) {
+        // So many connections in a row that are gone already are no chance: a rest, so that nothing spins.
+        const BROKEN_MOST: u32 = 64;
+        let mut broken = 0;
         while let Some((l, (listener, _))) =
             self.callers.listeners.get(&at).and_then(|l| l.socket.as_ref().map(|s| (l, s)))
         {
@@ -282,13 +287,17 @@
             }
             let stream = match accept(&listener) {
                 Accepted::Stream(stream) => stream,
-                Accepted::Again => continue,
-                Accepted::Nothing => return,
-                Accepted::Failed(e) => {
+                Accepted::Failed(AcceptFailure::Empty, _) => return,
+                Accepted::Failed(AcceptFailure::Connection, _) if broken < BROKEN_MOST => {
+                    broken += 1;
+                    continue;
+                }
+                Accepted::Failed(AcceptFailure::Shortage, e) => {
                     self.upstreams.close_oldest_idle(&self.net, |_| true);
                     self.close_idle_caller_for(|_| true);
                     return self.rest_accepting(at, &e.to_string());
                 }
+                Accepted::Failed(_, e) => return self.rest_accepting(at, &e.to_string()),
             };
             let leases = (
                 self.budgets.connections.take(&[Some(connections)]),
@@ -707,29 +716,26 @@
 fn hung_up_behind_bytes(stream: &TcpStream) -> bool {
     let mut polled = [PollFd::new(stream, PollFlags::RDHUP)];
     let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-    matches!(poll(&mut polled, Some(&Timespec::default())), Ok(1..)) && polled[0].revents().intersects(gone)
+    loop {
+        match poll(&mut polled, Some(&Timespec::default())) {
+            Err(Errno::INTR) => {}
+            answered => return matches!(answered, Ok(1..)) && polled[0].revents().intersects(gone),
+        }
+    }
 }
 
 /// What one accept brought.
 pub enum Accepted {
     Stream(TcpStream),
-    /// Interrupted, or the connection was gone before it was taken: try again.
-    Again,
-    /// The queue is empty.
-    Nothing,
-    /// Out of descriptors or the like: room has to be made before the next one.
-    Failed(io::Error),
+    /// No connection, for this reason.
+    Failed(AcceptFailure, io::Error),
 }
 
 /// Takes one connection off a listener's queue.
 pub fn accept(listener: &TcpListener) -> Accepted {
     match listener.accept() {
         Ok((stream, _)) => Accepted::Stream(stream),
-        Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-            Accepted::Again
-        }
-        Err(e) if e.kind() == ErrorKind::WouldBlock => Accepted::Nothing,
-        Err(e) => Accepted::Failed(e),
+        Err(e) => Accepted::Failed(accept_failure(&e), e),
     }
 }
 
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -3,6 +3,7 @@
 use crate::http::{self, Answer, Request};
 use crate::lease::Lease;
 use crate::pools::PoolId;
+use crate::socket_errors::is_local_shortage;
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use garnettally_decisions::facade::{Code, RequestId, ServerId};
 use garnettally_routing::budget::{exceeds, HolderId, Share};
@@ -295,13 +296,17 @@
                     warn!(self.net.log, "no connection is left for an attempt"; "upstreams" => self.upstreams.count(),
                         "pool" => self.pool_name(to.pool));
                     // It tells nothing of the upstream.
-                    return self.attempt_ended(Ended { target: None, ..failed });
+                    return self.attempt_ended(Ended { target: None, code: Code::Moot, ..failed });
                 };
                 let id = self.net.number();
                 let ready =
                     move |proxy: &mut Proxy, r: calloop::Readiness| proxy.upstream_ready(id, r.writable);
                 let socket = match crate::connect(address).and_then(|s| self.net.watch(s, ready)) {
                     Ok(socket) => socket,
+                    // It tells nothing of the upstream.
+                    Err(e) if is_local_shortage(&e) => {
+                        return self.attempt_ended(Ended { target: None, code: Code::Moot, ..failed });
+                    }
                     Err(_) => return self.attempt_ended(failed),
                 };
                 let conn = Conn {
