Date the starts of servers by a clock that never steps

Cause: lists date starts by the wall clock; ours is read once at the start and runs on by the monotonic one. Where the wall clock was stepped since, a server that had just started passed for an hour old and got a warm one's share (rule failback), or for one yet to start and stayed cold for an hour; a restart dated before the last one was not seen at all.

Change: crates/serve/src/clock.rs is the one seam of the serving path; at each list it tells how far the wall clock is ahead, and the module takes the later of the two possible starts, and none that is yet to come. Any other start than the last is a restart. A step between a server's start and our own can't be seen.

--- a/crates/decisions/src/balancer/membership.rs
+++ b/crates/decisions/src/balancer/membership.rs
@@ -66,10 +66,9 @@
                 s.unlist(self.set.drain_binds_alone);
                 continue;
             }
-            // By its own start, not by its return to the list.
-            let restarted = e.since > s.news.since;
-            self.cold_until =
-                e.since.map_or(self.cold_until, |t| self.cold_until.max(t + self.set.ramp_time));
+            // By its own start, not by its return to the list. Any other start is a later one: its clock may
+            // have been stepped back.
+            let restarted = e.since.is_some() && e.since != s.news.since;
             if restarted || s.ratio == 0.0 {
                 // New, or started anew: whatever was learned of its last life is void.
                 let old = std::mem::take(s);
@@ -78,8 +77,11 @@
                 (s.ratio, s.last_ok, s.last_end) = (1.0, self.now, self.now);
                 s.luck = -self.rng.f64().max(1e-9).ln();
                 s.bucket = -self.rng.f64() * self.st.cr / self.st.gain;
+                s.started = e.since.map(|dated| start_by_own_clock(dated, self.wall_ahead, self.now));
+                let warm_at = s.started.map_or(self.cold_until, |t| t + self.set.ramp_time);
+                self.cold_until = self.cold_until.max(warm_at);
             }
-            s.news = ServerNews { since: e.since.max(s.news.since), ..*e };
+            s.news = ServerNews { since: e.since.or(s.news.since), ..*e };
             (s.doubted, s.proven) = (false, self.now);
         }
         self.stale = true;
--- a/crates/decisions/src/balancer/mod.rs
+++ b/crates/decisions/src/balancer/mod.rs
@@ -34,6 +34,7 @@
 use request_faults::STRUCK;
 use retry::{RETRY_LEAST, RETRY_PERIODS, RETRY_RATIO};
 use selection::allowed;
+use slow_start::start_by_own_clock;
 
 // Times in microseconds, shares and ratios without a unit.
 const PERIOD: Micros = Micros(200_000); // P and slot_len, from the design page
@@ -53,6 +54,7 @@
     list_believed: bool, // Servers that it calls gone get nothing, though they may
     busy: Vec<u32>,      // Servers with bookings or calls in flight
     cold_until: Micros,
+    wall_ahead: Micros, // Of this instance's clock: where it was stepped since, starts are dated by the new time
     requests: FxHashMap<RequestId, Request>,
     held: Vec<RequestId>,
     turns: FxHashMap<KeyId, Turn>,
@@ -102,6 +104,7 @@
             Event::List { form, entries } => self.news(form, entries),
             Event::Unwatched { since, failure } => self.unwatched(since, failure),
             Event::DiscoveryMoved => self.subscription.iter_mut().for_each(|s| s.moved(self.now)),
+            Event::WallClock { ahead } => self.wall_ahead = ahead,
             Event::Request(new) => self.admit(new, actions),
             Event::Outcome(outcome) => self.outcome(outcome, actions),
             Event::Gone(id) => self.over(id, actions),
--- a/crates/decisions/src/balancer/selection.rs
+++ b/crates/decisions/src/balancer/selection.rs
@@ -70,8 +70,7 @@
                 true => 0,
             };
             if !room(&self.pools[s.pool])
-                || (s.news.since.is_some_and(cold)
-                    && s.bucket < (r.price - self.st.cr / self.st.gain).max(0.0))
+                || (s.started.is_some_and(cold) && s.bucket < (r.price - self.st.cr / self.st.gain).max(0.0))
             {
                 waits |= rank < 2;
                 continue;
@@ -82,7 +81,7 @@
             // own sends tell no more of a server than that. Harm: who errs at once looks idle. A cold one
             // has its bucket, and is free: charged, new servers were met by few or none of all callers.
             let away = if s.news.zone == self.set.zone { 0.0 } else { CROSSING * self.set.crossing_price };
-            let few = idle < OPEN_LEAST || (s.flights.is_empty() && s.news.since.is_some_and(cold));
+            let few = idle < OPEN_LEAST || (s.flights.is_empty() && s.started.is_some_and(cold));
             let extra = if self.open(s) || (few && !s.shut) { away } else { away + NEW_CONN };
             let net = s.weight - own / self.st.cr - self.st.dec * extra;
             if best[rank].is_none_or(|(w, _): (f64, ServerId)| net > w) {
--- a/crates/decisions/src/balancer/slow_start.rs
+++ b/crates/decisions/src/balancer/slow_start.rs
@@ -4,6 +4,13 @@
 
 const COLD_PART: f64 = 0.7; // of a peer: peers 1.4 times full, a server half as fast: twice what it can
 
+/// When a server started, by a clock that never steps. Its start may be dated by the time before the wall clock was
+/// stepped or by the one after; the later of both is the safe one, if it is not yet to come.
+pub(super) fn start_by_own_clock(dated: Micros, wall_ahead: Micros, now: Micros) -> Micros {
+    let possible = [dated, dated - wall_ahead].into_iter().filter(|&start| start <= now);
+    possible.max().unwrap_or(now)
+}
+
 impl Balancer {
     /// Slow start. A cold server gets the ramp's fraction of most of what a warm peer gets here, by a bucket
     /// that starts in debt by chance: all together keep the budget. How much of a core a price is worth is
@@ -14,7 +21,7 @@
         let window = self.set.tip_after.0 as f64 / PERIOD.0 as f64;
         for at in 0..self.members.len() {
             let i = self.members[at] as usize;
-            let Some(since) = self.servers[i].news.since else { continue };
+            let Some(since) = self.servers[i].started else { continue };
             let fill = self.warmth(since) * rate;
             let s = &mut self.servers[i];
             s.bucket = (s.bucket + fill * ended).min((fill * window).max(unit));
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -67,6 +67,11 @@
     },
     /// Discovery is at another address from now on; the watch on the old one has ended.
     DiscoveryMoved,
+    /// The clock that lists date starts by is so far ahead of the times handed in here; below 0: behind.
+    WallClock {
+        /// By so much.
+        ahead: Micros,
+    },
 }
 
 /// What is to be done now.
@@ -195,6 +200,7 @@
                 Event::Unwatched { since: Micros(now.0 - silent.as_micros() as i64), failure }
             }
             Report::DiscoveryMoved => Event::DiscoveryMoved,
+            Report::WallClock { ahead } => Event::WallClock { ahead },
         };
         self.handle(now, event)
     }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -57,8 +57,9 @@
     pub last_end: Micros,
     pub idle: u32, // Idle connections of this instance, as far as it knows, and when the last one fell idle
     pub idle_since: Micros,
-    pub shut: bool,     // The last try got no connection
-    pub bucket: f64,    // Slow start: work that may still be sent to it while it is cold
+    pub shut: bool,              // The last try got no connection
+    pub bucket: f64,             // Slow start: work that may still be sent to it while it is cold
+    pub started: Option<Micros>, // When it last started, by this instance's own clock; `None`: long ago
     pub proven: Micros, // Then it was sure not to be leaving: listed, watched, or sent a call that it took
     /// Called gone, or left out, where that does not bind, and nothing was answered since.
     pub doubted: bool,
--- a/crates/decisions/tests/failures.rs
+++ b/crates/decisions/tests/failures.rs
@@ -387,6 +387,61 @@
     assert_eq!(watches(&t), 0);
 }
 
+/// How many of 400 requests a server gets that has just started, among nine that are warm, where its start is dated so far
+/// from the time, and the wall clock is so far ahead.
+fn sent_to_a_cold_server(dated: i64, wall_ahead: i64) -> usize {
+    const HOUR: i64 = 3_600_000_000;
+    let set = Settings { ramp_time: Micros(20_000_000), ..settings(Effect::Safe) };
+    let mut t = Bench::new(set, 9);
+    t.now = Micros(2 * HOUR);
+    t.tell(Event::List { form: Form::Delta, entries: &[] });
+    for id in 0..200 {
+        t.ask(id, 10_000);
+        t.end(id, 0, Code::Ok, 10_000, None);
+        t.periods(i64::from(id % 4 == 0));
+    }
+    t.tell(Event::WallClock { ahead: Micros(wall_ahead) });
+    let since = Some(t.now + Micros(dated));
+    t.tell(Event::List { form: Form::Delta, entries: &[ServerNews { since, ..server(9) }] });
+    let mut sent = 0;
+    for id in 1_000..1_400 {
+        sent += usize::from(t.ask(id, 10_000) == Some(9));
+        t.end(id, 0, Code::Ok, 10_000, None);
+        t.periods(i64::from(id % 4 == 0));
+    }
+    sent
+}
+
+/// Guards against a cold server that passes for a warm one, or for one that is yet to start, because the wall clock was
+/// stepped: lists date starts by it.
+#[test]
+fn a_step_of_the_wall_clock_makes_no_server_warmer_or_colder() {
+    let step_free = sent_to_a_cold_server(0, 0);
+    for step in [2_000_000, 3_600_000_000] {
+        for step in [step, -step] {
+            let sent = sent_to_a_cold_server(step, step);
+            assert!(sent.abs_diff(step_free) <= 8, "{sent}, not {step_free}, after {step}");
+        }
+    }
+    // Dated in the future, and no step is known.
+    assert!(sent_to_a_cold_server(3_600_000_000, 0).abs_diff(step_free) <= 8);
+}
+
+/// Guards against a restart that goes unseen because the wall clock was stepped back before it.
+#[test]
+fn a_start_that_is_dated_before_the_last_one_is_a_restart() {
+    let mut t = Bench::new(settings(Effect::Safe), 2);
+    t.now = Micros(100_000_000);
+    for since in [90_000_000, 50_000_000, 50_000_000] {
+        let entry = ServerNews { since: Some(Micros(since)), ..server(1) };
+        t.tell(Event::List { form: Form::Delta, entries: &[entry] });
+        assert_eq!(t.b.servers()[1].started, Some(Micros(since)));
+    }
+    // Nothing is said of its start: it goes on.
+    t.tell(Event::List { form: Form::Delta, entries: &[server(1)] });
+    assert_eq!(t.b.servers()[1].started, Some(Micros(50_000_000)));
+}
+
 /// Guards against a list that new settings make as good as new: what the module before could not be told of binds the one
 /// that takes over.
 #[test]
--- a/crates/emulator/src/references.rs
+++ b/crates/emulator/src/references.rs
@@ -316,7 +316,7 @@
                     false => Vec::new(),
                 }
             }
-            Report::WatchFailed { .. } | Report::DiscoveryMoved => Vec::new(),
+            Report::WatchFailed { .. } | Report::DiscoveryMoved | Report::WallClock { .. } => Vec::new(),
         }
     }
 
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -387,6 +387,11 @@
     },
     /// Discovery is at another address from now on; the watch on the old one has ended.
     DiscoveryMoved,
+    /// The clock that lists date starts by is so far ahead of this instance's own, which never steps; below 0: behind.
+    WallClock {
+        /// By so much.
+        ahead: Micros,
+    },
     /// A request came in.
     Request(NewRequest),
     /// An attempt ended.
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -11,6 +11,7 @@
 mod admin;
 mod admission;
 mod callers;
+mod clock;
 mod discovery;
 mod duties;
 mod exchange;
@@ -31,9 +32,10 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use clock::Clock;
 use garnettally_config::file::format::LogRequests;
 pub use garnettally_config::Limits;
-use garnettally_decisions::facade::{Micros, Report};
+use garnettally_decisions::facade::Report;
 use garnettally_routing::budget::HolderId;
 use garnettally_routing::pins::Pins;
 use lease::{Lease, Shared};
@@ -45,35 +47,11 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime};
 
 /// The number of a connection; never used again.
 pub type ConnId = u64;
 
-/// Unix time that never steps back: the clock that every machine reads, taken at the start and run on.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix }
-    }
-
-    /// The time of this instant.
-    pub fn at(&self, t: Instant) -> Micros {
-        Micros((self.unix + t.saturating_duration_since(self.start)).as_micros() as i64)
-    }
-
-    fn instant(&self, t: Micros) -> Instant {
-        let unix = Duration::from_micros(t.0.max(0) as u64);
-        self.start + unix.saturating_sub(self.unix)
-    }
-}
-
 /// The whole balancer.
 pub struct Proxy {
     net: Net,
@@ -196,7 +174,7 @@
 /// Serves until nothing is owed after SIGTERM.
 pub fn serve(plan: Plan, log: Logger, signals: Signals) -> Result<(), String> {
     let mut events: EventLoop<'static, Proxy> = EventLoop::try_new().map_err(|e| e.to_string())?;
-    let clock = Clock::new();
+    let clock = Clock::new(Instant::now(), SystemTime::now());
     let limits = plan.limits;
     let rng = fastrand::Rng::with_seed(plan.seed);
     let scratch = vec![0; limits.read_bytes];
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -15,7 +15,7 @@
 use garnettally_routing::health;
 use slog::info;
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 /// The number of a pool; never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -50,6 +50,8 @@
     pub shared_by_fleet: Option<(u32, u32)>,
     /// Its source has told its nodes; before, requests wait for them.
     pub told: bool,
+    /// How far its module takes the wall clock to be ahead of its own.
+    wall_ahead: Micros,
     news: Vec<News>,
     first_news: Option<Instant>,
 }
@@ -75,6 +77,16 @@
         new
     }
 
+    /// Tells the module of a step of the wall clock, by which lists date the starts of nodes.
+    fn follow_wall_clock(&mut self, now: Micros, ahead: Micros) {
+        // Less is the clocks' own drift, and the time between two readings.
+        const STEP_LEAST: i64 = 100_000;
+        if (ahead - self.wall_ahead).0.abs() >= STEP_LEAST {
+            self.wall_ahead = ahead;
+            self.decisions.report(now, Report::WallClock { ahead });
+        }
+    }
+
     /// Has the module hear of this at its next turn.
     pub fn queue(&mut self, report: Report, now: Instant) {
         self.add(News::Known(report), now);
@@ -192,6 +204,7 @@
             ready: false,
             shared_by_fleet: plan.shared_by_fleet.then_some((1, 0)),
             told: false,
+            wall_ahead: Micros(0),
             news: Vec::new(),
             first_news: None,
         };
@@ -292,6 +305,9 @@
         }
         let listed = !found.is_empty() || all;
         pool.told |= all;
+        if !found.is_empty() {
+            pool.follow_wall_clock(now, self.net.clock.wall_ahead(Instant::now(), SystemTime::now()));
+        }
         let decisions = pool.decisions.report(now, report);
         if !listed {
             return decisions;
