Repeat no call to discovery at once in a large fleet

Calls that reached nobody are repeated at once, twice; in 300 processes these repeats met at the return, and more was asked than 46 calls a second.

Change: where the calls of all fill the shortest cycle (over 181 instances), such a call comes a cycle later like any other. The test a_call_that_reached_nobody_is_soon_repeated_... asked for repeats at 300 instances, which is the fault: it holds 180 to them now, and a new one holds 300 to a cycle.

--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -36,7 +36,8 @@
 /// If the calls of all take no longer, all can be answered before what they ask for binds.
 const ALL_IN_TIME: Micros = Micros(6_600_000);
 
-/// So many calls that reached no registry are repeated after a short pause, which doubles; then it is taken to be down.
+/// So many calls that reached no registry are repeated after a short pause, which doubles; then it is taken to be down. In a
+/// fleet whose calls fill the shortest cycle none is: the repeats of all would meet at the registry's return.
 const REPEATS_MOST: u32 = 2;
 
 /// The shortest pause after a failure.
@@ -310,7 +311,7 @@
     fn unreachable(&mut self, asked: Micros, now: Micros) {
         self.refusals.clear();
         self.seemed_down(asked);
-        if self.repeats < REPEATS_MOST {
+        if self.repeats < REPEATS_MOST && self.calls_of_all() <= CYCLE_LEAST {
             return self.pause(now, Micros(i64::MAX));
         }
         self.stretch = 1.0;
--- a/crates/subscription/tests/pace.rs
+++ b/crates/subscription/tests/pace.rs
@@ -266,7 +266,7 @@
 
 #[test]
 fn a_call_that_reached_nobody_is_soon_repeated_but_not_for_ever() {
-    let mut subscription = shared(300, 4);
+    let mut subscription = shared(180, 4);
     let mut asked = next_ask(&mut subscription);
     for _ in 0..2 {
         subscription.failed(asked + Micros(SECOND), asked, CallFailure::Unreachable);
@@ -277,3 +277,12 @@
     subscription.failed(asked, asked, CallFailure::Unreachable);
     assert!((next_ask(&mut subscription) - asked).0 >= 3 * SECOND);
 }
+
+/// Guards against repeats of a large fleet that meet when the registry returns.
+#[test]
+fn in_a_large_fleet_a_call_that_reached_nobody_is_repeated_a_cycle_later() {
+    let mut subscription = shared(300, 4);
+    let asked = next_ask(&mut subscription);
+    subscription.failed(asked + Micros(SECOND), asked, CallFailure::Unreachable);
+    assert!((next_ask(&mut subscription) - asked).0 >= 5 * SECOND);
+}
