--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -6,7 +6,7 @@
 //! process asks once in a cycle, at a phase of its own: spread over a cycle, the calls of all fit. The length of the
 //! cycle follows from the size of the fleet. It is the same after an outage of any length: whoever asks once in a cycle
 //! has asked within one cycle of the registry's return. Only overload lengthens it (multiplicative increase), which
-//! refusals tell apart from an outage ([`RefusalHistory`]); each success halves what it has grown by.
+//! refusals tell apart from an outage; each success halves what it has grown by.
 //!
 //! What a registry has to tell binds a process soon after it could have asked. Until then the list it holds is as good
 //! as a watch (a lease); after that it is stale, unless the registry is known to have been out of reach meanwhile.
