--- a/crates/decisions/src/balancer/admission.rs
+++ b/crates/decisions/src/balancer/admission.rs
@@ -3,7 +3,8 @@
 use super::*;
 
 pub(super) const QUOTA_LEAST: f64 = 2.0; // in requests
-pub(super) const IN_TIME: f64 = 1.5; // in time with this multiple of the expected time left: 4 in 5 exponential ones
+/// In time with this multiple of the expected time left: 4 in 5 exponential ones.
+pub(super) const IN_TIME: f64 = 1.5;
 const HOLD_MOST: f64 = 0.5; // part of its aim that a request may wait here: the rest is for being served
 
 impl Balancer {
--- a/crates/decisions/src/balancer/concurrency_limit.rs
+++ b/crates/decisions/src/balancer/concurrency_limit.rs
@@ -2,11 +2,13 @@
 
 use super::*;
 
-pub(super) const CROWDED: f64 = 0.25; // mean square of time over aim: exponential times, a third of the aim on average
+/// Mean square of time over aim: exponential times, a third of the aim on average.
+pub(super) const CROWDED: f64 = 0.25;
 const CROWD_SILENT: f64 = 0.375; // most that an unanswered call adds to it: a few hung servers are no crowd
 const CROWD_MOST: f64 = 0.15; // most weight of one call in it: a single late one must not close the limit
 const STRETCH: f64 = 2.2; // served over uncrowded time past which it closes: more wait than run
-pub(super) const STRETCH_MEAN: f64 = 1.0 / 64.0; // weight of a call in the present time: its mean is sure to a fifth
+/// Weight of a call in the present time: its mean is sure to a fifth.
+pub(super) const STRETCH_MEAN: f64 = 1.0 / 64.0;
 const STRETCH_DRIFT: f64 = 1e-3; // of the uncrowded time towards it each period: forgotten in minutes
 pub(super) const LIMIT_FIRST: f64 = 6.0; // the concurrency limit at first, per server
 pub(super) const LIMIT_CHANCE: f64 = 2.0; // and roots of an instance's share of it, as room for chance
--- a/crates/decisions/src/balancer/mod.rs
+++ b/crates/decisions/src/balancer/mod.rs
@@ -54,7 +54,8 @@
     list_believed: bool, // Servers that it calls gone get nothing, though they may
     busy: Vec<u32>,      // Servers with bookings or calls in flight
     cold_until: Micros,
-    wall_ahead: Micros, // Of this instance's clock: where it was stepped since, starts are dated by the new time
+    // Of this instance's clock: where it was stepped since, starts are dated by the new time
+    wall_ahead: Micros,
     requests: FxHashMap<RequestId, Request>,
     held: Vec<RequestId>,
     turns: FxHashMap<KeyId, Turn>,
@@ -138,7 +139,8 @@
         self.subscription.iter_mut().for_each(|s| s.set_instances(instances));
     }
 
-    /// Another instance has asked for the watch until now, and this one does from here on. What it was told, and when,
+    /// Another instance has asked for the watch until now, and this one does from here on. What it was
+    /// told, and when,
     /// goes on binding.
     pub fn take_over_watch(&mut self, before: &Balancer) {
         if let (Some(mine), Some(theirs)) = (&mut self.subscription, &before.subscription) {
--- a/crates/decisions/src/balancer/pricing.rs
+++ b/crates/decisions/src/balancer/pricing.rs
@@ -1,4 +1,5 @@
-//! What a call is expected to take: the line of served time over price, class means, and how slow a server is.
+//! What a call is expected to take: the line of served time over price, class means, and how slow a server
+//! is.
 
 use super::*;
 
--- a/crates/decisions/src/balancer/request_faults.rs
+++ b/crates/decisions/src/balancer/request_faults.rs
@@ -4,7 +4,8 @@
 
 const SIGNAL_TIME: f64 = 3e6; // memory, in time
 const SIGNAL_MOST: f64 = 0.5; // most weight of one call
-pub(super) const STRUCK: f64 = 0.6; // share of a class or tenant failing beyond its peers past which it fails by itself
+/// Share of a class or tenant failing beyond its peers past which it fails by itself.
+pub(super) const STRUCK: f64 = 0.6;
 
 impl Balancer {
     /// How far a request's class or tenant fails or drags beyond its peers, wherever it goes: so much of it
--- a/crates/decisions/src/balancer/selection.rs
+++ b/crates/decisions/src/balancer/selection.rs
@@ -64,7 +64,8 @@
                 continue;
             }
             let rank = match self.eligible(s, r.class) && self.trusted(s) {
-                false if s.proven == NEVER && !self.is_watched() => 3, // it turned one away, and may be leaving
+                // it turned one away, and may be leaving
+                false if s.proven == NEVER && !self.is_watched() => 3,
                 false => 2, // panic: nobody healthy, or none that is likely to stay, is left
                 true if r.attempts.iter().any(|a| a.server == s.news.server) => 1,
                 true => 0,
--- a/crates/decisions/src/balancer/slow_start.rs
+++ b/crates/decisions/src/balancer/slow_start.rs
@@ -4,7 +4,8 @@
 
 const COLD_PART: f64 = 0.7; // of a peer: peers 1.4 times full, a server half as fast: twice what it can
 
-/// When a server started, by a clock that never steps. Its start may be dated by the time before the wall clock was
+/// When a server started, by a clock that never steps. Its start may be dated by the time before the wall
+/// clock was
 /// stepped or by the one after; the later of both is the safe one, if it is not yet to come.
 pub(super) fn start_by_own_clock(dated: Micros, wall_ahead: Micros, now: Micros) -> Micros {
     let possible = [dated, dated - wall_ahead].into_iter().filter(|&start| start <= now);
