--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -66,7 +66,7 @@
 const CYCLES_REMEMBERED: i64 = 5;
 
 /// While the registry is taken to be down, a list is as good as a watch for this part of a cycle at the least. In a fleet
-/// whose cycle is longer than the lease, this is the price of an outage: a third of the time nothing is sent.
+/// whose cycle is longer than the lease, the price of an outage is that nothing is sent for a part of each cycle.
 const LEASED_PART: f64 = 2.0 / 3.0;
 
 /// Where the registry was down before, it still is where a call has been out for so long.
