--- a/crates/decisions/src/balancer/list_freshness.rs
+++ b/crates/decisions/src/balancer/list_freshness.rs
@@ -24,6 +24,13 @@
         self.subscription.as_ref().is_none_or(|s| s.is_open())
     }
 
+    /// What is known of the list; `None`: discovery need not be asked for it.
+    pub fn list_standing(&self, now: Micros) -> Option<ListReport> {
+        let report =
+            |s: &Subscription| ListReport { standing: s.list_standing(now), asked_at: s.next_timeout() };
+        self.subscription.as_ref().map(report)
+    }
+
     /// Whether the list may lack changes that bind already: then nothing goes out. A server that leaves may
     /// well go on answering. Harm: requests wait, and are refused, until the watch is back.
     pub(super) fn list_is_stale(&self) -> bool {
--- a/crates/decisions/src/balancer/mod.rs
+++ b/crates/decisions/src/balancer/mod.rs
@@ -20,7 +20,7 @@
 
 use crate::state::*;
 use garnettally_model::*;
-use garnettally_subscription::Subscription;
+use garnettally_subscription::{ListReport, Subscription};
 use rustc_hash::FxHashMap;
 
 use admission::{IN_TIME, QUOTA_LEAST};
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -13,6 +13,7 @@
 pub use garnettally_model::{
     CallFailure, ClassId, Code, Effect, KeyId, Listed, Micros, RequestId, ServerId, TenantId,
 };
+pub use garnettally_subscription::{ListReport, ListStanding};
 
 /// A request that wants an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -205,6 +206,11 @@
         self.handle(now, event)
     }
 
+    /// What is known of the list of upstreams; `None`: discovery need not be asked for it.
+    pub fn list_standing(&self, now: Micros) -> Option<ListReport> {
+        self.balancer.list_standing(now)
+    }
+
     /// Another module has asked for the watch until now, and this one does from here on.
     pub fn take_over_watch(&mut self, before: &Decisions) {
         self.balancer.take_over_watch(&before.balancer);
--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -4,11 +4,13 @@
 
 use crate::callers::{accept, Accepted};
 use crate::http::{write_answer, Outgoing};
+use crate::pools::Pool;
 use crate::socket_errors::AcceptFailure;
 use crate::stats::Gauges;
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use garnettally_decisions::facade::ListStanding;
 use slog::{info, warn};
 use std::collections::BTreeMap;
 use std::io;
@@ -335,7 +337,12 @@
     /// The figures, one statsd line each (docs/stats.md).
     fn stats_text(&self, now: Instant) -> String {
         let at = self.net.clock.at(now);
-        let mut gauges = Gauges { pending: self.exchanges.pending(), ..Gauges::default() };
+        let is_stale = |p: &&Pool| {
+            p.decisions.list_standing(at).is_some_and(|report| report.standing == ListStanding::Stale)
+        };
+        let lists_stale = self.pools.iter().filter(is_stale).count();
+        let pending = self.exchanges.pending();
+        let mut gauges = Gauges { pending, lists_stale, ..Gauges::default() };
         for pool in self.pools.iter().filter(|p| !p.leaving) {
             let (members, unavailable) = pool.health.members(at);
             gauges.members += members;
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -5,6 +5,7 @@
 use crate::http::{self, Bad, Incoming, Outgoing};
 use crate::lease::Lease;
 use crate::pools::Budgets;
+use crate::reasons::CloseReason;
 use crate::socket_errors::{accept_failure, AcceptFailure};
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use calloop::generic::Generic;
@@ -195,8 +196,9 @@
         !self.unread.is_empty()
     }
 
-    fn drop_conn(&mut self, net: &Net, id: ConnId) {
+    fn drop_conn(&mut self, net: &Net, id: ConnId, reason: CloseReason) {
         if let Some(conn) = self.conns.remove(&id) {
+            debug!(net.log, "a client's connection closes"; "connection" => id, "reason" => %reason);
             net.unwatch(conn.socket);
         }
     }
@@ -497,6 +499,7 @@
 
     fn caller_left(&mut self, id: ConnId) {
         let Some(conn) = self.callers.conns.remove(&id) else { return };
+        debug!(self.net.log, "a client's connection closes"; "connection" => id, "reason" => %CloseReason::PeerLeft);
         let state = conn.state;
         self.net.unwatch(conn.socket);
         if let State::Waiting(request) = state {
@@ -628,7 +631,9 @@
         for id in old {
             self.caller_ready(id); // its next request, or its end, may have come just now
             match self.callers.conns.get(&id) {
-                Some(c) if c.state == State::Lingering => self.callers.drop_conn(&self.net, id),
+                Some(c) if c.state == State::Lingering => {
+                    self.callers.drop_conn(&self.net, id, CloseReason::Finished);
+                }
                 Some(c) if c.idle() => self.end_if_idle(id),
                 _ => {}
             }
@@ -656,8 +661,9 @@
         }
         (conn.close, conn.state, conn.since) = (true, State::Lingering, Instant::now());
         if conn.socket.stream.shutdown(Shutdown::Write).is_err() {
-            return self.callers.drop_conn(&self.net, id);
+            return self.callers.drop_conn(&self.net, id, CloseReason::PeerLeft);
         }
+        debug!(self.net.log, "a client's connection ends between requests"; "connection" => id, "reason" => %CloseReason::Idle);
         self.caller_ready(id);
     }
 
@@ -668,7 +674,7 @@
         let done = |c: &Conn| c.state == State::Lingering && c.written == c.output.len();
         let done = self.callers.conns.iter().filter(|(_, c)| done(c) && fits(c)).min_by_key(|(_, c)| c.since);
         if let Some(id) = done.map(|(&id, _)| id) {
-            self.callers.drop_conn(&self.net, id);
+            self.callers.drop_conn(&self.net, id, CloseReason::Displaced);
             return true;
         }
         // Only those that are not about to ask.
@@ -676,7 +682,7 @@
         while let Some(id) = self.callers.oldest_idle(fresh, &fits) {
             self.end_if_idle(id);
             if self.callers.conns.get(&id).is_some_and(|c| c.state == State::Lingering) {
-                self.callers.drop_conn(&self.net, id); // its place is wanted now
+                self.callers.drop_conn(&self.net, id, CloseReason::Displaced);
             }
             if !self.callers.conns.contains_key(&id) {
                 return true;
--- a/crates/serve/src/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -15,6 +15,7 @@
 
 struct Watch {
     number: u64,
+    asked: Instant,
     socket: Watched,
     output: Vec<u8>,
     written: usize,
@@ -133,10 +134,12 @@
         let output =
             format!("GET /v1/endpoints?stream=1&index={version} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let deadline = Instant::now() + self.net.limits.discovery_connect;
-        info!(self.net.log, "discovery is asked"; "seq" => version);
+        info!(self.net.log, "discovery is asked"; "seq" => version, "call" => number);
+        self.stats.discovery_asked();
         if let Some(discovery) = self.discovery(pool) {
             discovery.watch = Some(Watch {
                 number,
+                asked: Instant::now(),
                 socket,
                 output: output.into_bytes(),
                 written: 0,
@@ -168,7 +171,13 @@
     }
 
     fn watch_ended(&mut self, pool: PoolId, silent: Duration, why: &str, failure: CallFailure) {
-        warn!(self.net.log, "the watch on discovery failed"; "why" => why);
+        let watch = self.discovery(pool).and_then(|d| d.watch.as_ref());
+        let call = watch.map(|w| w.number);
+        let lasted = watch.map_or(0, |w| w.asked.elapsed().as_millis());
+        let was_open = watch.is_some_and(|w| w.heard.is_some());
+        warn!(self.net.log, "the watch on discovery failed"; "why" => why, "call" => call, "after_ms" => lasted,
+            "was_open" => was_open, "silent_ms" => silent.as_millis(), "failure" => ?failure);
+        self.stats.discovery_failed();
         self.end_watch(pool);
         for p in self.pools.told_by(pool) {
             p.queue(Report::WatchFailed { silent, failure }, Instant::now());
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -5,11 +5,12 @@
 use crate::http::{Answer, Bad, Request};
 use crate::lease::Lease;
 use crate::pools::PoolId;
+use crate::reasons::RefusalReason;
 use crate::stats::Outcome;
 use crate::upstreams::{Attempt, Ended, Target};
 use crate::{ConnId, Proxy};
 use garnettally_config::file::format::LogRequests;
-use garnettally_decisions::facade::{Ask, Code, Decision, Micros, Report, RequestId};
+use garnettally_decisions::facade::{Ask, Code, Decision, ListStanding, Micros, Report, RequestId};
 use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{debug, info};
 use std::rc::Rc;
@@ -250,7 +251,7 @@
     /// The client has closed its connection.
     pub fn client_gone(&mut self, request: RequestId) {
         if self.exchanges.conclude(request).is_some() {
-            self.log_request(request, "gone", None, None);
+            self.log_request(request, "gone", None, None, None);
             self.drop_unwritten(request);
             self.queue_for(request, Report::Gone(request));
         }
@@ -340,7 +341,7 @@
                 self.stats.ended(&x.class_name, Outcome::Completed);
             }
             let outcome = if code == Code::Ok { "served" } else { "rejected" };
-            self.log_request(request, outcome, Some(answer.status), ended.target);
+            self.log_request(request, outcome, Some(answer.status), ended.target, None);
             self.answer_caller(caller, Final::Passed(&answer));
         }
     }
@@ -394,6 +395,7 @@
         // Time last, as in the simulator: what came in by now may have made room for what waits.
         let tick = self.pools.get_mut(id).map_or(Vec::new(), |p| p.decisions.tick(now));
         self.carry_out(id, tick);
+        self.log_list_standing(id, now);
     }
 
     fn forget(&mut self, request: RequestId) {
@@ -502,6 +504,8 @@
         let (copy, class) = (x.caller.is_none(), x.class_name.clone());
         let caller = self.exchanges.conclude(request);
         if !copy {
+            let reason = self.refusal_reason(request).filter(|_| !matches!(answer, Final::Passed(_)));
+            reason.into_iter().for_each(|r| self.stats.refused(r));
             let counted = match &answer {
                 Final::Passed(_) => Outcome::Completed,
                 Final::Refused { .. } => Outcome::Rejected,
@@ -513,7 +517,7 @@
                 Final::Refused { .. } => ("refused", 503),
                 Final::Failed => ("failed", 502),
             };
-            self.log_request(request, outcome, Some(status), None);
+            self.log_request(request, outcome, Some(status), None, reason);
         }
         self.drop_unwritten(request);
         self.forget(request);
@@ -522,6 +526,18 @@
         }
     }
 
+    /// Why a request is refused or failed now.
+    fn refusal_reason(&self, request: RequestId) -> Option<RefusalReason> {
+        let x = self.exchanges.open.get(&request)?;
+        let now = self.net.clock.at(Instant::now());
+        let standing = self.pools.get(x.pool).and_then(|p| p.decisions.list_standing(now));
+        Some(match standing {
+            _ if x.sends + x.sends_before > 0 => RefusalReason::AttemptsFailed,
+            Some(s) if s.standing == ListStanding::Stale => RefusalReason::StaleList,
+            _ => RefusalReason::NoRoom,
+        })
+    }
+
     fn wants_line(&self, outcome: &str) -> bool {
         match self.log_requests {
             LogRequests::None => false,
@@ -547,7 +563,14 @@
     }
 
     /// Writes a request's line, if it is to get one.
-    fn log_request(&self, request: RequestId, outcome: &str, status: Option<u16>, upstream: Option<Target>) {
+    fn log_request(
+        &self,
+        request: RequestId,
+        outcome: &str,
+        status: Option<u16>,
+        upstream: Option<Target>,
+        reason: Option<RefusalReason>,
+    ) {
         let Some(x) = self.exchanges.open.get(&request).filter(|_| self.wants_line(outcome)) else { return };
         let labels = x.labels.as_ref();
         info!(self.net.log, "request"; "id" => &x.id,
@@ -558,6 +581,7 @@
             "pool" => self.pool_name(x.pool),
             "upstream" => upstream.map_or("", |t| self.upstream_name(t)),
             "outcome" => outcome, "status" => status.unwrap_or(0),
+            "reason" => reason.map_or("", RefusalReason::name),
             "attempts" => x.sends + x.sends_before,
             "ms" => x.taken.elapsed().as_secs_f64() * 1e3);
     }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -22,6 +22,7 @@
 mod lease;
 pub mod plan;
 mod pools;
+mod reasons;
 mod reload;
 mod shutdown;
 mod socket_errors;
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -8,7 +8,9 @@
 use crate::upstreams::Target;
 use crate::{Proxy, Shared};
 use garnettally_config::file::{Basis, Nodes};
-use garnettally_decisions::facade::{Code, Decision, Decisions, Listed, Micros, Report, ServerId};
+use garnettally_decisions::facade::{
+    Code, Decision, Decisions, ListStanding, Listed, Micros, Report, ServerId,
+};
 use garnettally_model::HostList;
 use garnettally_routing::budget::HolderId;
 use garnettally_routing::failover::{Change, Fitness};
@@ -52,6 +54,8 @@
     pub told: bool,
     /// How far its module takes the wall clock to be ahead of its own.
     wall_ahead: Micros,
+    /// What the log was last told of its list.
+    logged_standing: Option<ListStanding>,
     news: Vec<News>,
     first_news: Option<Instant>,
 }
@@ -205,6 +209,7 @@
             shared_by_fleet: plan.shared_by_fleet.then_some((1, 0)),
             told: false,
             wall_ahead: Micros(0),
+            logged_standing: None,
             news: Vec::new(),
             first_news: None,
         };
@@ -344,6 +349,23 @@
         decisions
     }
 
+    /// Writes a line when what is known of a pool's list has changed. Calls to discovery have pauses, so lines do, too.
+    pub fn log_list_standing(&mut self, id: PoolId, now: Micros) {
+        let Some(pool) = self.pools.get_mut(id) else { return };
+        let Some(report) = pool.decisions.list_standing(now) else { return };
+        if pool.logged_standing.replace(report.standing) == Some(report.standing) {
+            return;
+        }
+        let state = match report.standing {
+            ListStanding::Watched => "watched",
+            ListStanding::Leased => "leased",
+            ListStanding::Stale => "stale",
+        };
+        let asked_in = report.asked_at.map_or(0, |at| (at - now).0 / 1000);
+        info!(self.net.log, "the list of upstreams"; "state" => state, "ready" => pool.health.ready(),
+            "asked_in_ms" => asked_in, "pool" => &pool.name);
+    }
+
     /// Notes how an attempt ended, for failover.
     pub fn note_health(&mut self, target: Target, code: Code, now: Instant) {
         let at = self.net.clock.at(now);
--- a/crates/serve/src/stats.rs
+++ b/crates/serve/src/stats.rs
@@ -1,6 +1,7 @@
 //! The figures that operators fetch from `/stats` (docs/stats.md): one registry, owned by the network side, counted
 //! from 0 in each process, written as statsd lines. It decides nothing and does no I/O.
 
+use crate::reasons::RefusalReason;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
@@ -34,6 +35,8 @@
     pub members: usize,
     /// Of those, the ones that are avoided now: draining, or marked down.
     pub members_unavailable: usize,
+    /// Pools whose list of upstreams may lack changes that bind already.
+    pub lists_stale: usize,
 }
 
 /// The counters of one process.
@@ -43,6 +46,9 @@
     upstream_requests: u64,
     config_reloads: u64,
     config_reload_errors: u64,
+    refused: BTreeMap<RefusalReason, u64>,
+    discovery_calls: u64,
+    discovery_failures: u64,
 }
 
 /// A class's name as a statsd path part: what would end or split a line is left out.
@@ -98,6 +104,21 @@
         self.upstream_requests += 1;
     }
 
+    /// A request was refused or failed for this reason.
+    pub fn refused(&mut self, reason: RefusalReason) {
+        *self.refused.entry(reason).or_default() += 1;
+    }
+
+    /// Discovery was asked for a watch.
+    pub fn discovery_asked(&mut self) {
+        self.discovery_calls += 1;
+    }
+
+    /// A call to discovery failed, or a watch ended.
+    pub fn discovery_failed(&mut self) {
+        self.discovery_failures += 1;
+    }
+
     /// A file was read at SIGHUP: taken, or turned down.
     pub fn reloaded(&mut self, taken: bool) {
         match taken {
@@ -120,6 +141,13 @@
         let _ = writeln!(out, "edge_gw.members_unavailable:{}|g", gauges.members_unavailable);
         let _ = writeln!(out, "edge_gw.config_reloads:{}|c", self.config_reloads);
         let _ = writeln!(out, "edge_gw.config_reload_errors:{}|c", self.config_reload_errors);
+        for reason in RefusalReason::ALL {
+            let count = self.refused.get(&reason).copied().unwrap_or_default();
+            let _ = writeln!(out, "edge_gw.refused_for.{}:{count}|c", reason.name());
+        }
+        let _ = writeln!(out, "edge_gw.discovery_calls:{}|c", self.discovery_calls);
+        let _ = writeln!(out, "edge_gw.discovery_failures:{}|c", self.discovery_failures);
+        let _ = writeln!(out, "edge_gw.lists_stale:{}|g", gauges.lists_stale);
         out
     }
 }
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -3,6 +3,7 @@
 use crate::http::{self, Answer, Request};
 use crate::lease::Lease;
 use crate::pools::PoolId;
+use crate::reasons::CloseReason;
 use crate::socket_errors::is_local_shortage;
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use garnettally_decisions::facade::{Code, RequestId, ServerId};
@@ -150,6 +151,7 @@
         self.keeps.remove(&upstream);
         for id in self.idle.remove(&upstream).unwrap_or_default() {
             if let Some(conn) = self.conns.remove(&id) {
+                debug!(net.log, "an upstream's connection closes"; "connection" => id, "reason" => %CloseReason::UpstreamLeft);
                 net.unwatch(conn.socket);
             }
         }
@@ -160,7 +162,7 @@
         let fits = |id: &&ConnId| self.conns.get(*id).is_some_and(|c| helps(&c.lease));
         let oldest = self.idle.values().filter_map(|ids| ids.iter().find(fits));
         let oldest = oldest.min_by_key(|id| self.conns.get(id).map(|c| c.idle_since)).copied();
-        oldest.is_some_and(|id| self.remove(net, id).is_some())
+        oldest.is_some_and(|id| self.remove(net, id, CloseReason::Displaced).is_some())
     }
 
     /// Drops connections idle for too long, well before the upstream would.
@@ -169,7 +171,7 @@
         let ids = self.idle.values().flatten().copied();
         let ids: Vec<_> = ids.filter(|id| self.conns.get(id).is_some_and(old)).collect();
         for id in ids {
-            self.remove(net, id);
+            self.remove(net, id, CloseReason::Idle);
         }
     }
 
@@ -179,8 +181,9 @@
     }
 
     /// Removes a connection, with the attempt that it carried.
-    fn remove(&mut self, net: &Net, id: ConnId) -> Option<Conn> {
+    fn remove(&mut self, net: &Net, id: ConnId, reason: CloseReason) -> Option<Conn> {
         let conn = self.conns.remove(&id)?;
+        debug!(net.log, "an upstream's connection closes"; "connection" => id, "reason" => %reason);
         if let Some(flight) = &conn.flight {
             self.flights.remove(&flight.attempt);
         } else if let Some(ids) = self.idle.get_mut(&conn.upstream) {
@@ -212,7 +215,7 @@
                 ids.remove(at);
                 return Some(id);
             }
-            if self.remove(net, id).is_none() {
+            if self.remove(net, id, CloseReason::Idle).is_none() {
                 self.idle.get_mut(&upstream)?.remove(at);
             }
         }
@@ -222,7 +225,7 @@
     pub fn drop_unwritten(&mut self, net: &Net, attempt: Attempt) -> Option<Ended> {
         let id = *self.flights.get(&attempt)?;
         self.conns.get(&id).filter(|c| c.unwritten())?;
-        let conn = self.remove(net, id)?;
+        let conn = self.remove(net, id, CloseReason::Cancelled)?;
         Some(conn.flight.as_ref()?.end(Code::Moot).at(conn.upstream))
     }
 
@@ -235,7 +238,7 @@
     /// Gives an attempt up: its connection closes.
     pub fn cancel(&mut self, net: &Net, attempt: Attempt) -> Option<Ended> {
         let id = *self.flights.get(&attempt)?;
-        let conn = self.remove(net, id)?;
+        let conn = self.remove(net, id, CloseReason::Cancelled)?;
         Some(conn.flight.as_ref()?.end(Code::Cancelled).at(conn.upstream))
     }
 }
@@ -380,7 +383,7 @@
         if conn.flight.is_none() {
             // An idle connection has nothing to say but that it ends.
             if reading != Reading::Open || !conn.input.is_empty() {
-                self.upstreams.remove(&self.net, id);
+                self.upstreams.remove(&self.net, id, CloseReason::Broken);
             }
             return;
         }
@@ -437,13 +440,13 @@
             self.upstreams.flights.remove(&ended.attempt);
             self.upstreams.idle.entry(upstream).or_default().push(id);
         } else {
-            self.upstreams.remove(&self.net, id);
+            self.upstreams.remove(&self.net, id, CloseReason::UpstreamLeft);
         }
         self.attempt_ended(Ended { answer: Some(answer), ..ended });
     }
 
     fn upstream_broken(&mut self, id: ConnId) {
-        let Some(conn) = self.upstreams.remove(&self.net, id) else { return };
+        let Some(conn) = self.upstreams.remove(&self.net, id, CloseReason::Broken) else { return };
         if let Some(flight) = &conn.flight {
             self.upstreams.learn_keep(&self.net, &conn, flight);
             self.attempt_ended(flight.end(conn.broken()).at(conn.upstream));
@@ -458,7 +461,7 @@
             if connecting && self.upstreams.conns.get(&id).is_some_and(|c| c.open) {
                 continue;
             }
-            let Some(conn) = self.upstreams.remove(&self.net, id) else { continue };
+            let Some(conn) = self.upstreams.remove(&self.net, id, CloseReason::TimedOut) else { continue };
             let code = if conn.unwritten() { Code::ConnectFailed } else { Code::Timeout };
             if let Some(flight) = &conn.flight {
                 self.attempt_ended(flight.end(code).at(conn.upstream));
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -87,6 +87,26 @@
     },
 }
 
+/// What a process knows of the list that it holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListStanding {
+    /// A watch is open: changes come as they are made.
+    Watched,
+    /// There is no watch, and the list may be used for now.
+    Leased,
+    /// Changes that bind already may be missing.
+    Stale,
+}
+
+/// What is known of the list that a process holds, and when it asks next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListReport {
+    /// What is known of the list.
+    pub standing: ListStanding,
+    /// When a watch is asked for, in microseconds of the caller's clock; `None`: a call is out, or a watch is open.
+    pub asked_at: Option<Micros>,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     /// No watch; it is asked for at this time.
@@ -191,6 +211,15 @@
         is_past && !self.is_open() && !self.is_still_down(now)
     }
 
+    /// What is known of the list held.
+    pub fn list_standing(&self, now: Micros) -> ListStanding {
+        match (self.is_open(), self.is_stale(now)) {
+            (true, _) => ListStanding::Watched,
+            (false, false) => ListStanding::Leased,
+            (false, true) => ListStanding::Stale,
+        }
+    }
+
     /// For how long the list held is good without a watch.
     fn lease(&self) -> Option<Micros> {
         let part_of_cycle = Micros((self.cycle() as f64 * LEASED_PART) as i64);
--- /dev/null
+++ b/tests/discovery_faults.rs
@@ -0,0 +1,217 @@
+//! What a process may send while discovery does not tell it a whole list: a list is good for 6 s from when it was known
+//! to be complete. Each scene is a real process with a discovery of its own, four upstreams, one of which leaves and goes
+//! on serving, and a client. What counts as told follows from what discovery wrote and when.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+use support::scripted::{CallAnswer, ScriptedDiscovery, WatchLoss};
+use support::*;
+
+/// What discovery could have told, or a silent watch missed, counts as told so long after.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
+
+/// `DrainGraceUs` of the settings, what the page on sockets adds to each limit, and time for a busy machine to get a
+/// request to its upstream and read it there.
+const GRACE: Duration = Duration::from_millis(500);
+const ADDED: Duration = Duration::from_millis(50);
+const LAG: Duration = Duration::from_millis(300);
+
+/// The trouble begins so long after the process has its first list, and lasts for so long.
+const QUIET: Duration = Duration::from_secs(1);
+const TROUBLE: Duration = Duration::from_secs(13);
+
+/// So long after the end of the trouble the process has its watch again, and serves.
+const RECOVERS_WITHIN: Duration = Duration::from_secs(8);
+
+/// Clients of each process, enough for all of its upstreams to get requests, and how long each waits between two.
+const CLIENTS: usize = 4;
+const REQUESTS_EVERY: Duration = Duration::from_millis(20);
+
+/// What a client got.
+#[derive(Clone, Copy)]
+struct Answered {
+    at: Instant,
+    served: bool,
+}
+
+/// A process, its discovery, its upstreams and its client.
+struct Scene {
+    discovery: ScriptedDiscovery,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+    answers: Arc<Mutex<Vec<Answered>>>,
+    stop: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+    _upstreams: Vec<Upstream>,
+    _balancer: Balancer,
+}
+
+/// The upstreams; the first ones leave.
+const NAMES: [&str; 4] = ["s0", "s1", "s2", "s3"];
+
+impl Scene {
+    /// Starts a process that is told of so many instances, and knows the list from before. What comes to the first so many
+    /// upstreams is noted.
+    fn start(instances: u32, seed: u64, leavers: usize) -> Scene {
+        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let upstreams = (0..NAMES.len()).map(|n| {
+            let noted = arrivals.clone();
+            Upstream::start(move |_| {
+                if n < leavers {
+                    noted.lock().unwrap().push(Instant::now());
+                }
+                ok("x")
+            })
+        });
+        let upstreams: Vec<Upstream> = upstreams.collect();
+        let hosts: Vec<_> = NAMES.into_iter().zip(upstreams.iter().map(|u| u.address)).collect();
+        let discovery = ScriptedDiscovery::start(&hosts);
+        let known: Vec<String> = hosts.iter().map(|(name, at)| host(name, *at, 0, "SERVING")).collect();
+        let address = free_address();
+        let text = config(address, discovery.address, 1024, &known)
+            .replace(r#""NInstances":1"#, &format!(r#""NInstances":{instances}"#))
+            .replace("00000000000000a1", &format!("{:016x}", 0xa1 + seed));
+        let balancer = Balancer::spawn_with_log(address, &text);
+        let (answers, stop) = (Arc::<Mutex<Vec<Answered>>>::default(), Arc::new(AtomicBool::new(false)));
+        let clients = (0..CLIENTS).map(|_| {
+            let (noted, stopped) = (answers.clone(), stop.clone());
+            thread::spawn(move || send_requests(address, &noted, &stopped))
+        });
+        let clients = clients.collect();
+        Scene { discovery, arrivals, answers, stop, clients, _upstreams: upstreams, _balancer: balancer }
+    }
+
+    /// Requests that came to the upstream that leaves after this time.
+    fn breaks_after(&self, binds: Instant) -> usize {
+        self.arrivals.lock().unwrap().iter().filter(|&&at| at > binds + GRACE + ADDED + LAG).count()
+    }
+
+    /// Of the requests answered within this span, the share that was served.
+    fn served_between(&self, from: Instant, to: Instant) -> f64 {
+        let answers = self.answers.lock().unwrap();
+        let within: Vec<_> = answers.iter().filter(|a| (from..to).contains(&a.at)).collect();
+        within.iter().filter(|a| a.served).count() as f64 / within.len().max(1) as f64
+    }
+
+    fn wait_for_watch(&self) {
+        until("a watch", || self.discovery.has_watch());
+    }
+}
+
+impl Drop for Scene {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        for client in self.clients.drain(..) {
+            let _ = client.join();
+        }
+    }
+}
+
+/// Sends one request after the other until it is told to stop.
+fn send_requests(address: SocketAddr, answers: &Mutex<Vec<Answered>>, stop: &AtomicBool) {
+    let mut client = None;
+    while !stop.load(Ordering::SeqCst) {
+        let open = client.get_or_insert_with(|| Client::connect(address).expect("a connection"));
+        open.send(&look("1.2"));
+        let answer = open.answer();
+        let served = answer.as_ref().is_some_and(|a| a.status() == 200);
+        answers.lock().unwrap().push(Answered { at: Instant::now(), served });
+        if answer.is_none() {
+            client = None;
+        }
+        thread::sleep(REQUESTS_EVERY);
+    }
+}
+
+/// What one scene came to.
+struct Finding {
+    title: String,
+    breaks: usize,
+    before: f64,
+    recovered: f64,
+}
+
+/// From some time on calls are answered like this, and the watch is lost; one upstream leaves right then.
+fn play(instances: u32, answer: CallAnswer, loss: WatchLoss) -> Finding {
+    let scene = Scene::start(instances, u64::from(instances), 1);
+    scene.wait_for_watch();
+    thread::sleep(QUIET);
+    scene.discovery.answer_calls(answer);
+    scene.discovery.lose_watches(loss);
+    let left = scene.discovery.drain(NAMES[0]);
+    thread::sleep(TROUBLE);
+    let ended = Instant::now();
+    let breaks = scene.breaks_after(left + TOLD_AFTER);
+    scene.discovery.answer_calls(CallAnswer::Whole);
+    thread::sleep(RECOVERS_WITHIN + Duration::from_secs(1));
+    Finding {
+        title: format!("{answer:?}, watch {loss:?}, {instances} instances"),
+        breaks,
+        before: scene.served_between(left - QUIET, left),
+        recovered: scene.served_between(ended + RECOVERS_WITHIN, Instant::now()),
+    }
+}
+
+/// Plays scenes side by side, prints what each came to, and checks them all.
+fn check(scenes: Vec<(u32, CallAnswer, WatchLoss)>) {
+    const SERVED_LEAST: f64 = 0.95;
+    let playing: Vec<_> =
+        scenes.into_iter().map(|(n, answer, loss)| thread::spawn(move || play(n, answer, loss))).collect();
+    let findings: Vec<Finding> = playing.into_iter().map(|p| p.join().unwrap()).collect();
+    for f in &findings {
+        println!(
+            "{}: {} requests too late to the upstream that left; served {:.3} before, {:.3} after",
+            f.title, f.breaks, f.before, f.recovered
+        );
+    }
+    for f in &findings {
+        assert_eq!(f.breaks, 0, "{}", f.title);
+        assert!(f.recovered >= SERVED_LEAST * f.before, "{}: served {:.3}", f.title, f.recovered);
+    }
+}
+
+/// Guards against answers that were begun, and never came whole, which pass for a discovery that is out of reach.
+#[test]
+fn an_answer_that_does_not_come_whole_keeps_no_list_in_use() {
+    let scenes = CallAnswer::CUT.into_iter().flat_map(|a| [1, 300].map(|n| (n, a, WatchLoss::Reset)));
+    check(scenes.collect());
+}
+
+/// Guards against calls that fail after a silence, and give the list that missed it a longer life.
+#[test]
+fn what_a_silent_watch_missed_binds_though_discovery_is_out_of_reach_then() {
+    check([1, 300].map(|n| (n, CallAnswer::NoConnection, WatchLoss::Silent)).to_vec());
+}
+
+/// Guards against a process that, being told of a large fleet, asks for its first watch after what it has missed binds,
+/// and uses the list that it was started with all the same.
+#[test]
+fn a_process_of_a_large_fleet_is_told_in_time() {
+    const INSTANCES: u32 = 990;
+    const PROCESSES: u64 = 12;
+    const LEAVERS: usize = 3;
+    const PLAYED: Duration = Duration::from_secs(20);
+    let play = |seed| {
+        let started = Instant::now();
+        let scene = Scene::start(INSTANCES, seed, LEAVERS);
+        NAMES[..LEAVERS].iter().for_each(|name| drop(scene.discovery.drain(name)));
+        thread::sleep(PLAYED.saturating_sub(started.elapsed()));
+        let asked = scene.discovery.calls().first().map(|&at| at - started);
+        let served = scene.served_between(started, Instant::now());
+        (asked, scene.breaks_after(started + TOLD_AFTER), served)
+    };
+    let playing: Vec<_> = (0..PROCESSES).map(|seed| thread::spawn(move || play(seed))).collect();
+    let findings: Vec<_> = playing.into_iter().map(|p| p.join().unwrap()).collect();
+    for (asked, breaks, served) in &findings {
+        println!("asked after {asked:?}; {breaks} requests too late; served {served:.3}");
+    }
+    for (asked, breaks, served) in findings {
+        assert_eq!(breaks, 0);
+        assert!(asked.is_some_and(|after| after < TOLD_AFTER + LAG), "asked after {asked:?}");
+        assert!(served > 0.95, "served {served}");
+    }
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)] // each test program uses its part
 
 pub mod late;
+pub mod scripted;
 
 use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
@@ -286,6 +287,15 @@
         b
     }
 
+    /// The same with its log in a file beside its configuration.
+    pub fn spawn_with_log(address: SocketAddr, text: &str) -> Balancer {
+        let log = config_file("");
+        Balancer::spawn(address, text, |command| {
+            command.stderr(std::fs::File::options().append(true).open(&log).unwrap());
+            println!("the log of {address} is {log}");
+        })
+    }
+
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
