Add a failing test: a crowded discovery lets a list of the start into use

Discovery is busy when a lost zone returns (version 28 is written 2.1 s after it is there), so calls of processes that start then are refused late or stay unanswered; proof_of_call says unclear, and was_out_of_reach lets the list of the configuration into use.

--- a/tests/discovery_faults.rs
+++ b/tests/discovery_faults.rs
@@ -257,3 +257,36 @@
         assert!(f.served > 0.95, "{title}: served {}", f.served);
     }
 }
+
+/// Guards against a process that takes a discovery with too many callers for one that is out of reach, and sends by the list
+/// that it was started with. Found by the third play of the incident.
+#[test]
+fn a_process_that_starts_beside_a_crowd_sends_nothing_by_an_old_list() {
+    const LEAVERS: usize = 3;
+    const CROWDED: Duration = Duration::from_secs(9);
+    let play = |answer| {
+        let fleet = Fleet::start(LEAVERS);
+        let left: Vec<Instant> = NAMES[..LEAVERS].iter().map(|name| fleet.discovery.drain(name)).collect();
+        fleet.discovery.answer_calls(answer);
+        thread::sleep(TOLD_AFTER + GRACE + ADDED);
+        let scene = Scene::start(fleet, 1, 7);
+        thread::sleep(CROWDED);
+        let breaks = scene.breaks_after(left[0] + TOLD_AFTER);
+        scene.discovery.answer_calls(CallAnswer::Whole);
+        let ended = Instant::now();
+        thread::sleep(RECOVERS_WITHIN + Duration::from_secs(1));
+        (breaks, scene.served_between(ended + RECOVERS_WITHIN, Instant::now()))
+    };
+    let answers = [CallAnswer::BusyAtOnce, CallAnswer::BusyLate, CallAnswer::Reset, CallAnswer::Silence];
+    let playing: Vec<_> = answers.map(|answer| (answer, thread::spawn(move || play(answer)))).into();
+    let findings: Vec<_> = playing.into_iter().map(|(answer, p)| (answer, p.join().unwrap())).collect();
+    for (answer, (breaks, recovered)) in &findings {
+        println!(
+            "{answer:?}: {breaks} requests too late to upstreams that left; served {recovered:.3} after"
+        );
+    }
+    for (answer, (breaks, recovered)) in findings {
+        assert_eq!(breaks, 0, "{answer:?}");
+        assert!(recovered > 0.95, "{answer:?}: served {recovered}");
+    }
+}
