Give an unverified list no benefit of the doubt while discovery may be crowded

Processes that start when a lost zone returns meet a discovery that is busy with large lists; a call that is refused late or stays unanswered is no proof that it is out of reach, but was taken for one, also where nothing was known of the list's age. Change: such a call leaves an unverified list unused; a refused connection, one that never comes up, or four refusals that are alike let it into use. GET /ready waits for the first call's end, 2.2 s of it at the most, and not for the list.

--- a/crates/decisions/src/balancer/list_freshness.rs
+++ b/crates/decisions/src/balancer/list_freshness.rs
@@ -26,9 +26,7 @@
 
     /// What is known of the list; `None`: discovery need not be asked for it.
     pub fn list_standing(&self, now: Micros) -> Option<ListReport> {
-        let report =
-            |s: &Subscription| ListReport { standing: s.list_standing(now), asked_at: s.next_timeout() };
-        self.subscription.as_ref().map(report)
+        self.subscription.as_ref().map(|s| s.list_report(self.now.max(now)))
     }
 
     /// Whether the list may lack changes that bind already: then nothing goes out. A server that leaves may
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -107,7 +107,7 @@
     /// Whether a request could be served.
     pub fn ready(&self) -> bool {
         let now = self.net.clock.at(Instant::now());
-        let is_ready = |p: &Pool| p.ready && !p.leaving && p.has_usable_list(now);
+        let is_ready = |p: &Pool| p.ready && !p.leaving && p.is_started(now);
         self.pools.iter().any(is_ready) && !self.shutdown.closing() && !self.admin.draining()
     }
 
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -56,8 +56,8 @@
     wall_ahead: Micros,
     /// What the log was last told of its list.
     logged_standing: Option<ListStanding>,
-    /// Its list could be used once.
-    had_usable_list: bool,
+    /// Its first call to discovery has had its time, or its list could be used without.
+    is_started: bool,
     news: Vec<News>,
     first_news: Option<Instant>,
 }
@@ -68,11 +68,12 @@
         !self.leaving && (!self.told || self.health.ready() > 0)
     }
 
-    /// Whether its list may be used now, or could be once: a process that starts knows a list of any age.
-    pub fn has_usable_list(&self, now: Micros) -> bool {
+    /// Whether it may take requests: a process that starts knows a list of any age, and waits for discovery's answer, but not
+    /// for long.
+    pub fn is_started(&self, now: Micros) -> bool {
         let is_usable = |standing| matches!(standing, ListStanding::Watched | ListStanding::Leased);
-        self.had_usable_list
-            || self.decisions.list_standing(now).is_none_or(|report| is_usable(report.standing))
+        self.is_started
+            || self.decisions.list_standing(now).is_none_or(|r| r.is_started || is_usable(r.standing))
     }
 
     /// What the fleet's exchange of verdicts sees of it.
@@ -219,7 +220,7 @@
             told: false,
             wall_ahead: Micros(0),
             logged_standing: None,
-            had_usable_list: false,
+            is_started: false,
             news: Vec::new(),
             first_news: None,
         };
@@ -362,7 +363,7 @@
     /// Notes what is known of a pool's list, and writes a line when that has changed. Calls to discovery have pauses, so lines do, too.
     pub fn note_list_standing(&mut self, id: PoolId, now: Micros) {
         let Some(pool) = self.pools.get_mut(id) else { return };
-        pool.had_usable_list = pool.has_usable_list(now);
+        pool.is_started = pool.is_started(now);
         let Some(report) = pool.decisions.list_standing(now) else { return };
         if pool.logged_standing.replace(report.standing) == Some(report.standing) {
             return;
--- a/crates/subscription/src/knowledge.rs
+++ b/crates/subscription/src/knowledge.rs
@@ -47,14 +47,20 @@
         ListKnowledge { evidence: Evidence::Incomplete, complete_until: until }
     }
 
-    /// The registry was out of reach at this time, or seemed to be.
+    /// The registry was out of reach at this time.
     pub fn was_out_of_reach(&mut self, at: Micros) {
-        match self.evidence {
-            Evidence::None | Evidence::Watch | Evidence::OutOfReach => {
-                self.evidence = Evidence::OutOfReach;
-                self.complete_until = self.complete_until.max(at);
-            }
-            Evidence::Incomplete => {}
+        if self.evidence == Evidence::Incomplete {
+            return;
+        }
+        self.evidence = Evidence::OutOfReach;
+        self.complete_until = self.complete_until.max(at);
+    }
+
+    /// The registry was out of reach at this time, or had too much to do. A list that was complete has the benefit of the
+    /// doubt; one that may be of any age has none, as changes that it lacks may bind already.
+    pub fn may_have_been_out_of_reach(&mut self, at: Micros) {
+        if self.evidence != Evidence::None {
+            self.was_out_of_reach(at);
         }
     }
 
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -85,8 +85,7 @@
 /// Where the registry was down before, it still is where a call has been out for so long.
 const STILL_DOWN_AFTER: Micros = Micros(1_300_000);
 
-/// A registry that can be reached answers or refuses the first call of a process within this. One that does neither is taken
-/// to be out of reach: the process goes by the list that it was started with.
+/// A registry with few callers answers the first call of a process within this.
 const FIRST_ANSWER_WITHIN: Micros = Micros(2_200_000);
 
 /// Whom the registry serves.
@@ -121,6 +120,8 @@
     pub standing: ListStanding,
     /// When a watch is asked for, in microseconds of the caller's clock; `None`: a call is out, or a watch is open.
     pub asked_at: Option<Micros>,
+    /// The first call of this process has had its time.
+    pub is_started: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -225,8 +226,17 @@
         !self.is_open() && !self.knowledge.is_good(now, lease) && !self.is_still_down(now)
     }
 
+    /// What is known of the list held, and when the next call is made.
+    pub fn list_report(&self, now: Micros) -> ListReport {
+        ListReport {
+            standing: self.list_standing(now),
+            asked_at: self.next_timeout(),
+            is_started: self.is_started(now),
+        }
+    }
+
     /// What is known of the list held.
-    pub fn list_standing(&self, now: Micros) -> ListStanding {
+    fn list_standing(&self, now: Micros) -> ListStanding {
         match (self.is_open(), self.is_stale(now)) {
             (true, _) => ListStanding::Watched,
             (false, false) => ListStanding::Leased,
@@ -245,9 +255,16 @@
     /// Whether a call is out for so long, with nothing of an answer, that the registry is taken to be out of reach.
     fn is_still_down(&self, now: Micros) -> bool {
         let State::Asked { at, is_answering: false } = self.state else { return false };
-        let out = now - at;
-        (self.knowledge.seems_down() && out >= STILL_DOWN_AFTER)
-            || (self.knowledge.is_unverified() && out >= FIRST_ANSWER_WITHIN)
+        self.knowledge.seems_down() && now - at >= STILL_DOWN_AFTER
+    }
+
+    /// Whether the first call of this process has been answered or has failed, or is out for longer than an answer takes: there
+    /// is nothing that it could soon be told before it takes requests.
+    pub fn is_started(&self, now: Micros) -> bool {
+        match self.state {
+            State::Asked { at, .. } if self.is_starting => now - at >= FIRST_ANSWER_WITHIN,
+            _ => !self.is_starting,
+        }
     }
 
     /// The head of an answer to the call has come: the registry can be reached.
@@ -276,7 +293,10 @@
         let was_open = self.is_open();
         match self.state {
             State::Waiting { .. } => {}
-            State::Asked { at, .. } => self.call_failed(at, now, failure),
+            State::Asked { at, .. } => {
+                self.call_failed(at, now, failure);
+                self.is_starting = false;
+            }
             State::Open => self.lost(now, since, failure),
         }
         was_open
@@ -377,7 +397,7 @@
                 self.stretch = (self.stretch * SHRINKAGE).max(1.0);
                 self.knowledge.was_out_of_reach(asked);
             }
-            Condition::Unclear => self.knowledge.was_out_of_reach(asked),
+            Condition::Unclear => self.knowledge.may_have_been_out_of_reach(asked),
         }
         self.wait_for_next(asked, now);
     }
@@ -425,8 +445,7 @@
 
     fn jittered_cycle(&mut self) -> Micros {
         let is_first = std::mem::take(&mut self.is_first);
-        let is_starting = std::mem::take(&mut self.is_starting);
-        if is_starting && self.calls_of_all() > ALL_IN_TIME {
+        if self.is_starting && self.calls_of_all() > ALL_IN_TIME {
             let cycles = CYCLES_AFTER_START;
             let part = cycles.start + (cycles.end - cycles.start) * self.random.f64();
             return Micros((self.cycle() as f64 * part) as i64);
