--- a/tests/support/scripted.rs
+++ b/tests/support/scripted.rs
@@ -89,8 +89,8 @@
 pub struct Departure {
     pub name: String,
     pub at: Instant,
-    /// When the change was written whole on a watch, for the first time.
-    pub written: Option<Instant>,
+    /// When the change was written whole on a watch or in an answer.
+    pub written: Vec<Instant>,
 }
 
 /// From this time on, calls are answered so.
@@ -134,7 +134,7 @@
 
     fn note_written(&mut self) {
         let now = Instant::now();
-        self.departures.iter_mut().for_each(|d| d.written = d.written.or(Some(now)));
+        self.departures.iter_mut().for_each(|d| d.written.push(now));
     }
 }
 
@@ -207,10 +207,12 @@
         let Some(h) = state.hosts.iter_mut().find(|h| h.name == name) else { panic!("no host {name}") };
         h.health = health;
         let entry = host(&h.name, h.address, 0, health);
-        state.departures.push(Departure { name: name.to_string(), at, written: None });
+        state.departures.push(Departure { name: name.to_string(), at, written: Vec::new() });
         if !state.watches.is_empty() {
             state.push(&(list(version, false, &[entry]) + "\n"));
-            state.note_written();
+            if let Some(departure) = state.departures.last_mut() {
+                departure.written.push(Instant::now());
+            }
         }
         at
     }
