End the longer lease of large fleets, which broke the rule after an outage

Change: the lease is 6 s in a fleet of any size. The bed gives requests to processes that would be ready and refuse, too, and the outage of 900 processes begins once they have their first watches, as its schedule says.

--- a/crates/emulator/tests/stale_lists/schedule.rs
+++ b/crates/emulator/tests/stale_lists/schedule.rs
@@ -266,6 +266,17 @@
         Micros((calls * CALL_TIME / (1.0 - others)) as i64)
     }
 
+    /// The same with all trouble later by this: a large fleet takes longer to open its first watches.
+    pub fn delayed(mut self, by: Micros) -> Schedule {
+        for outage in &mut self.outages {
+            (outage.from, outage.until) = (outage.from + by, outage.until + by);
+        }
+        self.lost_watches.iter_mut().for_each(|l| l.at = l.at + by);
+        self.departures.iter_mut().for_each(|d| d.at = d.at + by);
+        self.end = self.end + by;
+        self
+    }
+
     /// Lines of an answer at this time: before the trouble there is nothing to tell.
     pub fn answer_lines_at(&self, at: Micros) -> u32 {
         if at < QUIET {
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -78,10 +78,6 @@
 /// Refusals are remembered for so many cycles.
 const CYCLES_REMEMBERED: i64 = 5;
 
-/// While the registry seems to be down, a list is as good as a watch for this part of a cycle that has not grown, at the least.
-/// In a fleet whose cycle is longer than the lease, the price of an outage is that nothing is sent for a part of each cycle.
-const LEASED_PART: f64 = 2.0 / 3.0;
-
 /// Where the registry was down before, it still is where a call has been out for so long.
 const STILL_DOWN_AFTER: Micros = Micros(1_300_000);
 
@@ -222,7 +218,7 @@
     /// Whether the list held may lack changes that bind already: there is no watch, and nothing shows that the registry was
     /// out of reach since the list was complete.
     pub fn is_stale(&self, now: Micros) -> bool {
-        let Some(lease) = self.lease() else { return false };
+        let Some(lease) = self.list_lease else { return false };
         !self.is_open() && !self.knowledge.is_good(now, lease) && !self.is_still_down(now)
     }
 
@@ -245,13 +241,6 @@
         }
     }
 
-    /// For how long the list held is good after it was complete.
-    fn lease(&self) -> Option<Micros> {
-        let part_of_cycle = Micros((self.first_cycle().0 as f64 * LEASED_PART) as i64);
-        self.list_lease
-            .map(|lease| if self.knowledge.seems_down() { lease.max(part_of_cycle) } else { lease })
-    }
-
     /// Whether a call is out for so long, with nothing of an answer, that the registry is taken to be out of reach.
     fn is_still_down(&self, now: Micros) -> bool {
         let State::Asked { at, is_answering: false } = self.state else { return false };
@@ -433,14 +422,9 @@
         Micros(PAUSE_LEAST.0 + self.random.i64(0..=PAUSE_LEAST.0))
     }
 
-    /// The longest cycle that has not grown.
-    fn first_cycle(&self) -> Micros {
-        CYCLE_LEAST.max(self.asking_time())
-    }
-
     /// The longest cycle at the present stretch, in microseconds.
     fn cycle(&self) -> i64 {
-        (self.first_cycle().0 as f64 * self.stretch) as i64
+        (CYCLE_LEAST.max(self.asking_time()).0 as f64 * self.stretch) as i64
     }
 
     fn jittered_cycle(&mut self) -> Micros {
--- a/tests/soak/play.rs
+++ b/tests/soak/play.rs
@@ -200,6 +200,7 @@
         thread::sleep(kill.saturating_duration_since(Instant::now()));
         self.lives.lock().unwrap().last_mut().unwrap().killed = Some(Instant::now());
         *self.balancer.lock().unwrap() = None;
+        self.discovery.process_killed();
         self.begin_life();
     }
 
--- a/tests/support/scripted.rs
+++ b/tests/support/scripted.rs
@@ -247,6 +247,13 @@
         }
     }
 
+    /// The process has been killed: its watches are no more.
+    pub fn process_killed(&self) {
+        let mut state = self.state();
+        state.watches.clear();
+        state.silent.clear();
+    }
+
     /// When calls came, the first ones first.
     pub fn calls(&self) -> Vec<Instant> {
         self.state().calls.clone()
