--- a/crates/emulator/tests/stale_lists/schedule.rs
+++ b/crates/emulator/tests/stale_lists/schedule.rs
@@ -271,9 +271,9 @@
         for outage in &mut self.outages {
             (outage.from, outage.until) = (outage.from + by, outage.until + by);
         }
-        self.lost_watches.iter_mut().for_each(|l| l.at = l.at + by);
-        self.departures.iter_mut().for_each(|d| d.at = d.at + by);
-        self.end = self.end + by;
+        self.lost_watches.iter_mut().for_each(|l| l.at += by);
+        self.departures.iter_mut().for_each(|d| d.at += by);
+        self.end += by;
         self
     }
 
