--- a/tests/soak/play.rs
+++ b/tests/soak/play.rs
@@ -29,6 +29,9 @@
 /// How long a process is held up: 0.15 s at the most, with what it takes to wake and send the second signal.
 const HELD_UP: Duration = Duration::from_millis(130);
 
+/// A process goes on for so long between two hold-ups: one behind the other would be a longer one.
+const GOES_ON: Duration = Duration::from_millis(200);
+
 /// An answer may come so long after its request's time.
 const LATE_MOST: Duration = Duration::from_millis(500);
 
@@ -83,6 +86,8 @@
     lives: Mutex<Vec<Life>>,
     /// Clients may connect.
     is_open: AtomicBool,
+    /// It is held up, or was just now.
+    hold_ups: Mutex<()>,
 }
 
 fn settings_of(schedule: &Schedule) -> String {
@@ -145,6 +150,7 @@
             balancer: Mutex::new(None),
             lives: Mutex::new(Vec::new()),
             is_open: AtomicBool::new(false),
+            hold_ups: Mutex::new(()),
         };
         process.begin_life();
         process
@@ -181,10 +187,12 @@
     fn hold_up(&self) {
         let pid = self.balancer.lock().unwrap().as_ref().map(|b| Pid::from_child(&b.child));
         let Some(pid) = pid else { return };
+        let _one_at_a_time = self.hold_ups.lock().unwrap();
         // It may have ended by now.
         let _ = kill_process(pid, rustix::process::Signal::STOP);
         thread::sleep(HELD_UP);
         let _ = kill_process(pid, rustix::process::Signal::CONT);
+        thread::sleep(GOES_ON);
     }
 
     /// SIGTERM; SIGKILL as early as it may come; then a new life.
