List every known fault with its command, and give the unlisted ones their tests

Change: a test for each of these. The limit of three lines forced omissions, so it is replaced by a stricter form: each entry has the command that plays this very test, and its name has to stand in it; eight lines at most. Its test has three more cases that are refused.

--- a/crates/serve/src/held_list_tests.rs
+++ b/crates/serve/src/held_list_tests.rs
@@ -118,3 +118,27 @@
     reborn.hosts[0].0.since = Some(Micros(5));
     assert_eq!(held.take(&reborn, at(1), at(1)), Taken::Applied(reborn.clone()));
 }
+
+/// Guards against a departure that outlives the return of its host: a host drains, and the same service lists it as serving
+/// again before 6 s have passed. Then discovery moves, and the next service lists it too: nobody says that it has left, and
+/// holding it back would cost a good host. Seen by reading: a departure was forgotten by its age alone.
+#[test]
+fn a_host_that_came_back_by_the_service_that_told_its_leave_is_not_held_back_after_a_move() {
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs(seconds);
+    let both = [("a", Listed::Ready), ("b", Listed::Ready)];
+    let a_left = [("a", Listed::Draining), ("b", Listed::Ready)];
+    let a_back = [("a", Listed::Ready)];
+    for (left, back) in [
+        (list(8, true, &a_left), list(9, true, &both)),
+        (list(8, true, &a_left[1..]), list(9, true, &both)),
+        (list(8, false, &a_left[..1]), list(9, false, &a_back)),
+    ] {
+        let mut held = HeldList::new(Some(&list(7, true, &both)));
+        assert_eq!(held.take(&left, start, start), Taken::Applied(left.clone()));
+        assert_eq!(held.take(&back, at(1), at(1)), Taken::Applied(back.clone()));
+        held.change_service();
+        let next = list(3, true, &both);
+        assert_eq!(held.take(&next, at(2), at(2)), Taken::Applied(next.clone()));
+    }
+}
--- a/tests/ci.rs
+++ b/tests/ci.rs
@@ -18,33 +18,44 @@
 
 const TESTS: &str = "a: test\nb::c: test\nb::cd: test\ntwice: test\ntwice: test\ne: test\nf: test\n";
 
+/// An entry as it has to be.
+fn entry(test: &str, seen: &str) -> String {
+    format!("{test}: {seen}: `cargo test --locked -- {test} --exact`: issue 29\n")
+}
+
 #[test]
 fn tests_known_to_fail_are_passed_over_by_their_exact_names() {
     let none = known_red("none", None, TESTS);
     assert!(none.status.success() && none.stdout.is_empty(), "{none:?}");
-    let two = known_red("two", Some("a: it hangs: now and then: issue 7\n\nb::c: why: issue 29"), TESTS);
+    let two =
+        known_red("two", Some(&(entry("a", "it hangs: now and then") + "\n" + &entry("b::c", "why"))), TESTS);
     assert!(two.status.success(), "{two:?}");
     assert_eq!(String::from_utf8_lossy(&two.stdout), "--exact\n--skip\na\n--skip\nb::c\n");
     let told = String::from_utf8_lossy(&two.stderr).into_owned();
     assert!(
-        told.contains("passed over: a: it hangs: now and then: issue 7") && told.contains("b::c"),
+        told.contains("passed over: a: it hangs: now and then: `cargo test") && told.contains("b::c"),
         "{told}"
     );
 }
 
-/// Guards against tests that go missing unseen: more than three, a name that is part of one or of several.
+/// Guards against tests that go missing unseen: many, a name that is part of one or of several; and against entries that
+/// nobody can reproduce.
 #[test]
 fn other_lists_of_tests_known_to_fail_are_refused() {
+    const FORM: &str = "not \"test: what was seen: `command`: issue N\"";
     let cases = [
-        ("four", "a: x: issue 1\nb::c: x: issue 1\ne: x: issue 1\nf: x: issue 1\n", "more than three"),
-        ("unknown", "b: x: issue 1\n", "0 tests have the name b"),
-        ("pattern", "b::.*: x: issue 1\n", "not `test: cause: issue N`"),
-        ("twice", "twice: x: issue 1\n", "2 tests have the name twice"),
-        ("causeless", "a: : issue 1\n", "not `test: cause: issue N`"),
-        ("issueless", "a: x\n", "not `test: cause: issue N`"),
+        ("nine", entry("a", "x").repeat(9), "more than 8 lines"),
+        ("unknown", entry("b", "x"), "0 tests have the name b"),
+        ("pattern", entry("b::.*", "x"), FORM),
+        ("twice", entry("twice", "x"), "2 tests have the name twice"),
+        ("causeless", entry("a", ""), FORM),
+        ("issueless", "a: x: `cargo test --locked -- a`\n".into(), FORM),
+        ("commandless", "a: x: issue 1\n".into(), FORM),
+        ("other-command", "a: x: `cargo test --locked -- ab`: issue 1\n".into(), "does not play a"),
+        ("no-command", "a: x: `a`: issue 1\n".into(), "does not play a"),
     ];
     for (name, text, why) in cases {
-        let out = known_red(name, Some(text), TESTS);
+        let out = known_red(name, Some(&text), TESTS);
         assert!(!out.status.success(), "{name}: {out:?}");
         assert!(String::from_utf8_lossy(&out.stderr).contains(why), "{name}: {out:?}");
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -55,6 +55,26 @@
     assert_eq!(run(SEED).1.breaks, []);
 }
 
+/// The same by other ways in which calls end, in fleets of 990 and 220.
+#[test]
+fn the_rules_hold_in_a_fleet_of_990_whose_calls_fail_one_by_one() {
+    const SEED: u64 = 22;
+    assert_eq!(run(SEED).1.breaks, []);
+}
+
+#[test]
+fn the_rules_hold_in_a_fleet_of_220_whose_calls_fail_one_by_one() {
+    const SEED: u64 = 25;
+    assert_eq!(run(SEED).1.breaks, []);
+}
+
+/// Processes that start while connections to discovery are refused go by the list of their configuration, of any age.
+#[test]
+fn the_rules_hold_where_processes_start_while_discovery_refuses_connections() {
+    const SEED: u64 = 42;
+    assert_eq!(run(SEED).1.breaks, []);
+}
+
 #[test]
 fn the_rules_hold_under_restarts_and_discovery_faults() {
     let seeds: Vec<u64> = match variable("SOAK_SEED") {
