Forget a host's departure when the service that told it lists the host again

Symptom: a host that drained and came back by one service within 6 s was held back for the rest of them after a move of discovery, though nobody said that it had left. Cause: HeldList kept a departure by its age alone (note_departure, release).

Change: the word of the same service that the same life serves again ends the departure. Another life, or another service, ends nothing: a service that is behind may still list the life that ended.

--- a/crates/serve/src/held_list.rs
+++ b/crates/serve/src/held_list.rs
@@ -132,6 +132,8 @@
             } else if self.left_elsewhere(listing, as_of) {
                 self.held_back.insert(listing.name.clone(), (listing.clone(), *dial));
                 listing.state = Listed::Draining;
+            } else {
+                self.forget_departure(listing);
             }
             match listing.state {
                 Listed::Gone => self.hosts.remove(&listing.name),
@@ -163,6 +165,14 @@
         });
     }
 
+    /// The service that told of a host's leave lists the same life of it as serving again.
+    fn forget_departure(&mut self, listing: &Listing) {
+        let told_here = |d: &Departure| d.service == self.service && d.born == listing.since;
+        if self.departures.get(&listing.name).is_some_and(told_here) {
+            self.departures.remove(&listing.name);
+        }
+    }
+
     /// Whether another service told that this life of a host had ended, so short a while ago that the present one need not
     /// know of it.
     fn left_elsewhere(&self, listing: &Listing, as_of: Instant) -> bool {
