Log why a server is ejected and who said what at a verdict; add failing tests of both causes

Every ejection by m0, m1, m2 and m5 of its own is by answers (Ok) 0.8 to 14.0 ms after the send where 0.1 to 0.7 ms were expected; 0.1 to 5.6 ms of them this process had not looked at its sockets.

Added: rounds.rs (when the loop looked, and how long it was kept from it), handed on as held_up with each outcome and used by nobody yet; the last bad outcome in the line of an ejection; the line of a verdict with all voices and their ages; what a server has answered, and its score, in opinions.

--- a/crates/decisions/src/balancer/outlier_ejection.rs
+++ b/crates/decisions/src/balancer/outlier_ejection.rs
@@ -42,6 +42,7 @@
         let flight = s.flights.swap_remove(i);
         self.pools[s.pool].out -= 1;
         s.shut = o.code == Code::ConnectFailed;
+        s.answered |= matches!(o.code, Code::Ok | Code::Error | Code::Full | Code::Rejected);
         s.proven = match o.code {
             Code::Ok | Code::Error => s.proven.max(flight.sent),
             Code::Full | Code::ConnectFailed => NEVER,
@@ -66,6 +67,10 @@
             _ => return marks_of(s, class).for_each(|m| m.trial = false),
         } * part;
         s.last_ok = if bad == 0.0 { now } else { s.last_ok };
+        if bad > 0.0 {
+            let (latency, held_up, expected) = (o.latency, o.held_up, Micros(expected as i64));
+            s.last_bad = Some(BadOutcome { code: Some(o.code), latency, held_up, expected });
+        }
         score(s, class, bad, now);
         // Called gone, it answers: the list is wrong. Or nobody is there.
         if s.doubted && bad == 0.0 {
@@ -94,12 +99,22 @@
             let mut told = Vec::new();
             for f in s.flights.iter_mut().filter(|f| !f.overdue && f.overdue_at <= now) {
                 f.overdue = true;
-                told.extend((s.last_ok <= f.sent).then_some((f.id, f.attempt, f.class)));
+                let expected = Micros((f.overdue_at - f.sent - PERIOD).0.max(0) / OVERDUE as i64);
+                told.extend((s.last_ok <= f.sent).then_some((
+                    f.id,
+                    f.attempt,
+                    f.class,
+                    now - f.sent,
+                    expected,
+                )));
+            }
+            for &(_, _, class, latency, expected) in &told {
+                score(s, class, 1.0, now);
+                s.last_bad = Some(BadOutcome { code: None, latency, held_up: Micros(0), expected });
             }
-            told.iter().for_each(|&(_, _, class)| score(s, class, 1.0, now));
             silent.extend(told);
         }
-        for (id, attempt, _) in silent {
+        for (id, attempt, ..) in silent {
             let Some(r) = self.requests.get(&id).filter(|r| !r.over && self.set.may_cancel) else { continue };
             let again = !matches!(self.set.classes[r.class].effect, Effect::Unsafe)
                 && r.attempts.len() < self.set.max_attempts as usize;
@@ -138,6 +153,7 @@
             if n < 2 || full || bad < BAD_EJECT + 2.0 * peers {
                 continue;
             }
+            let last_bad = self.servers[server].last_bad;
             let m = &mut self.servers[server].marks[key];
             (m.ejected_until, m.strikes) = (Some(self.now + wait), m.strikes + 1);
             m.own = m.bad >= BAD_EJECT;
@@ -145,7 +161,12 @@
             self.stale = true;
             if m.strikes == 1 {
                 let what = if key == 0 { String::new() } else { format!(" for class {}", key - 1) };
-                actions.push(Action::Log(format!("server {server} ejected{what}, outlier score {bad:.2}")));
+                let last = match last_bad.filter(|_| m.own) {
+                    Some(last) => format!(": {last}"),
+                    None => ", by others' word".to_string(),
+                };
+                let text = format!("server {server} ejected{what}, outlier score {bad:.2}{last}");
+                actions.push(Action::Log(text));
             }
         }
     }
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -46,6 +46,8 @@
         code: Code,
         /// How long after it was sent.
         latency: Duration,
+        /// For how much of that this process did not look at its sockets.
+        held_up: Duration,
         /// The requests that its upstream says to hold.
         held: Option<f64>,
         /// The request has had its answer.
@@ -184,14 +186,17 @@
     /// Takes in what has become known, and says what follows from it.
     pub fn report(&mut self, now: Micros, report: Report) -> Vec<Decision> {
         let event = match report {
-            Report::Ended { request, attempt, code, latency, held, answered } => Event::Outcome(Outcome {
-                id: request,
-                attempt,
-                code,
-                latency: Micros(latency.as_micros() as i64),
-                terminal: answered,
-                load: held.map(|held| Load { held: Some(held) }),
-            }),
+            Report::Ended { request, attempt, code, latency, held_up, held, answered } => {
+                Event::Outcome(Outcome {
+                    id: request,
+                    attempt,
+                    code,
+                    latency: Micros(latency.as_micros() as i64),
+                    held_up: Micros(held_up.as_micros() as i64),
+                    terminal: answered,
+                    load: held.map(|held| Load { held: Some(held) }),
+                })
+            }
             Report::Gone(request) => Event::Gone(request),
             Report::Heard(heard) => Event::Hearsay(heard),
             Report::Known(list) => return self.hosts(now, Form::Cached, &list),
@@ -242,6 +247,8 @@
                     class: key.checked_sub(1).map(|c| ClassId(c as u32)),
                     // While it is ejected it is as bad as what it was ejected for, at the least.
                     bad: if own { m.bad.max(0.5) } else { 0.0 },
+                    score: m.bad,
+                    answered: s.answered,
                     unreachable: s.shut,
                     silent: if key == 0 { silent } else { 0.0 },
                     at: s.last_end,
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -29,7 +29,7 @@
 //! out.clear();
 //! let outcome = Outcome {
 //!     id: RequestId(1), attempt: 0, code: Code::Ok,
-//!     latency: Micros(21_000), terminal: true, load: None,
+//!     latency: Micros(21_000), held_up: Micros(0), terminal: true, load: None,
 //! };
 //! balancer.handle(Micros(21_010), Event::Outcome(outcome), &mut out);
 //! assert!(!out.iter().any(|a| matches!(a, Action::Fail { .. } | Action::Refuse { .. })));
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -38,6 +38,28 @@
     pub tries: bool,
 }
 
+/// What spoke against a server last: the code of an attempt that ended, `None` for one that is out too long.
+#[derive(Clone, Copy, Debug)]
+pub struct BadOutcome {
+    pub code: Option<Code>,
+    pub latency: Micros,
+    /// So much of the latency may be this process's own.
+    pub held_up: Micros,
+    pub expected: Micros,
+}
+
+impl std::fmt::Display for BadOutcome {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let ms = |m: Micros| m.0 as f64 / 1e3;
+        match self.code {
+            Some(code) => write!(f, "{code:?}")?,
+            None => write!(f, "no answer")?,
+        }
+        let (latency, expected, held_up) = (ms(self.latency), ms(self.expected), ms(self.held_up));
+        write!(f, " after {latency:.1} ms, {expected:.1} expected, {held_up:.1} of them held up here")
+    }
+}
+
 #[derive(Default)]
 pub struct Server {
     pub news: ServerNews,
@@ -53,6 +75,8 @@
     pub ratio: f64,                  // Served time over expected time, a running mean
     pub held: Option<(f64, Micros)>, // What it reported to hold, and when
     pub marks: Vec<Mark>,            // Health: as a whole, then by class, as far as it was needed
+    pub last_bad: Option<BadOutcome>,
+    pub answered: bool, // Something came back from it in its present life
     pub last_ok: Micros,
     pub last_end: Micros,
     pub idle: u32, // Idle connections of this instance, as far as it knows, and when the last one fell idle
--- a/crates/emulator/src/day/balancers.rs
+++ b/crates/emulator/src/day/balancers.rs
@@ -151,7 +151,15 @@
             // It is over: never sent, as the real program does.
             let request = RequestId(call_id);
             let (code, latency, answered) = (Code::Moot, Duration::ZERO, call.answered);
-            let report = News::Ended { request, attempt: number, code, latency, held: None, answered };
+            let report = News::Ended {
+                request,
+                attempt: number,
+                code,
+                latency,
+                held_up: Duration::ZERO,
+                held: None,
+                answered,
+            };
             return self.post(now, balancer, Inbox::News(report));
         }
         call.out += 1;
@@ -289,8 +297,15 @@
             answered = true;
         }
         let latency = Duration::from_micros(latency.0.max(0) as u64);
-        let report =
-            News::Ended { request: RequestId(call_id), attempt: number, code, latency, held, answered };
+        let report = News::Ended {
+            request: RequestId(call_id),
+            attempt: number,
+            code,
+            latency,
+            held_up: Duration::ZERO,
+            held,
+            answered,
+        };
         self.post(now, balancer, Inbox::News(report));
     }
 
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -314,6 +314,8 @@
     pub code: Code,
     /// Time since the send.
     pub latency: Micros,
+    /// So much of that may be this process's own doing: it was held up, and did not look at its sockets.
+    pub held_up: Micros,
     /// The request is finished.
     pub terminal: bool,
     /// The server's report, if one came along.
@@ -346,6 +348,10 @@
     pub class: Option<ClassId>,
     /// How bad it is, 0 to 1; 0: it is not ejected, or not by what was found here.
     pub bad: f64,
+    /// The outlier score, whether or not it is ejected for it.
+    pub score: f64,
+    /// It has answered this instance in its present life: the way there has worked.
+    pub answered: bool,
     /// The last call got no connection.
     pub unreachable: bool,
     /// For how long a call has been out there with nothing answered since, as a part of the time after which this
--- a/crates/serve/src/discovery.rs
+++ b/crates/serve/src/discovery.rs
@@ -336,7 +336,7 @@
     }
 
     fn discovery_input(&mut self, pool: PoolId) -> Result<(), BadAnswer> {
-        let (limits, log, looked) = (self.net.limits.clone(), self.net.log.clone(), self.net.looked);
+        let (limits, log, looked) = (self.net.limits.clone(), self.net.log.clone(), self.net.rounds.looked());
         let Some(discovery) = self.discovery(pool) else { return Ok(()) };
         let Some(watch) = discovery.watch.as_mut() else { return Ok(()) };
         if watch.chunks.is_none() {
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -330,10 +330,10 @@
         let answered = over || passed.is_some() || (copy && matches!(ended.code, Code::Ok | Code::Rejected));
         debug!(self.net.log, "ended"; "request" => request.0, "attempt" => attempt, "code" => ?ended.code,
             "upstream" => ended.target.map_or("", |t| self.upstream_name(t)),
-            "ms" => ended.latency.as_secs_f64() * 1e3);
+            "ms" => ended.latency.as_secs_f64() * 1e3, "held_up_ms" => ended.held_up.as_secs_f64() * 1e3);
         let held = ended.answer.as_ref().and_then(|a| a.held);
-        let (code, latency) = (ended.code, ended.latency);
-        let report = Report::Ended { request, attempt, code, latency, held, answered };
+        let (code, latency, held_up) = (ended.code, ended.latency, ended.held_up);
+        let report = Report::Ended { request, attempt, code, latency, held_up, held, answered };
         self.queue_for(request, report);
         if passed.is_some() {
             self.drop_unwritten(request);
@@ -432,7 +432,8 @@
         let Some(x) = self.exchanges.open.get_mut(&request) else { return };
         let attempt = (request, x.sends);
         (x.sends, x.out) = (x.sends + 1, x.out + 1);
-        let unsent = |code| Ended { attempt, target: None, code, latency: Duration::ZERO, answer: None };
+        let zero = Duration::ZERO;
+        let unsent = |code| Ended { attempt, target: None, code, latency: zero, held_up: zero, answer: None };
         if x.over {
             return self.attempt_ended_unpinned(unsent(Code::Moot));
         }
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -15,7 +15,7 @@
 use garnettally_verdicts::{hash, merge, Claim, Exchange, Prior, Said, Subject, View, What};
 use rustc_hash::FxHashMap;
 use serde_json::{json, Value};
-use slog::{error, info, warn};
+use slog::{error, info, warn, Logger};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::{Duration, Instant};
@@ -169,7 +169,13 @@
     }
 
     /// Tells members what these pools' modules have found, and gives what each is to hear. `at` is their time.
-    pub fn look(&mut self, now: Instant, at: Micros, pools: &[Seen<'_>]) -> Vec<(PoolId, Hearsay)> {
+    pub fn look(
+        &mut self,
+        log: &Logger,
+        now: Instant,
+        at: Micros,
+        pools: &[Seen<'_>],
+    ) -> Vec<(PoolId, Hearsay)> {
         self.look_at = now + LOOK;
         self.exchanges.retain(|id, _| pools.iter().any(|p| p.id == *id));
         let max_age = Micros(self.settings.max_age.as_micros() as i64);
@@ -195,11 +201,15 @@
             return Vec::new();
         }
         self.merged = (version, now);
-        let priors = self.merge(pools);
+        let said: Vec<Said> = self.link.facts().filter_map(|f| read(&f)).collect();
+        let priors = self.merge(&said, pools);
         let mut heard = Vec::new();
         for p in pools {
             if let Some(e) = self.exchanges.get_mut(&p.id) {
                 let told = e.hear(at, &priors, |id| p.decisions.started(id));
+                for h in &told {
+                    self.log_verdict(log, p, h, &said);
+                }
                 heard.extend(told.into_iter().map(|h| (p.id, h)));
             }
         }
@@ -221,8 +231,33 @@
         (size, (before * u64::from(size) / all) as u32)
     }
 
-    fn merge(&self, pools: &[Seen<'_>]) -> Vec<Prior> {
-        let said: Vec<Said> = self.link.facts().filter_map(|f| read(&f)).collect();
+    /// Writes what this process goes by from now on, with what each member says of the node, and how old that is.
+    fn log_verdict(&self, log: &Logger, pool: &Seen<'_>, heard: &Hearsay, said: &[Said]) {
+        let name = pool.decisions.upstream_name(heard.server);
+        let (of, node) = (hash(pool.name), hash(name));
+        let members = self.member_names();
+        let voices: Vec<String> = said
+            .iter()
+            .filter(|s| s.subject.pool == of && s.subject.node == node)
+            .map(|s| {
+                let member = members.get(&s.member).copied().unwrap_or("one unknown");
+                let of_class = if s.subject.class == 0 { "" } else { " for a class" };
+                format!("{member}: {}{of_class} {} ms ago", what_name(s.claim.what), s.age.0 / 1000)
+            })
+            .collect();
+        let class = heard.class.and_then(|c| pool.classes.get(c.0 as usize)).map_or("", String::as_str);
+        info!(log, "a verdict"; "pool" => pool.name, "node" => name, "class" => class, "bad" => heard.bad,
+            "tries" => heard.tries, "said" => voices.join(", "));
+    }
+
+    /// The names of members by their lives.
+    fn member_names(&self) -> FxHashMap<u64, &str> {
+        let me = self.link.me();
+        let others = self.link.others().map(|(id, _)| (id.boot, id.name.as_str()));
+        others.chain([(me.boot, me.name.as_str())]).collect()
+    }
+
+    fn merge(&self, said: &[Said], pools: &[Seen<'_>]) -> Vec<Prior> {
         let me = self.link.me();
         let members: FxHashMap<u64, (bool, bool)> = self
             .link
@@ -238,25 +273,18 @@
             alive: self.link.alive() as usize,
             nodes: &|pool| nodes.get(&pool).copied().unwrap_or(0),
         };
-        merge(&said, &view)
+        merge(said, &view)
     }
 
     /// What members say of nodes now, with who said it and how old it is.
     fn verdicts(&self) -> Vec<Value> {
-        let mut members: FxHashMap<u64, &str> = FxHashMap::default();
-        members.insert(self.link.me().boot, &self.link.me().name);
-        members.extend(self.link.others().map(|(id, _)| (id.boot, id.name.as_str())));
+        let members = self.member_names();
         let name =
             |of: u64, hash: u64| self.names.get(&(of, hash)).cloned().unwrap_or(format!("{hash:016x}"));
         let said = self.link.facts().filter_map(|f| read(&f));
         let rows = said.map(|s| {
             let Subject { pool, node, class, .. } = s.subject;
-            let what = match s.claim.what {
-                What::Sick => "sick",
-                What::Unreachable => "unreachable",
-                What::Well => "well",
-                What::Silent => "silent",
-            };
+            let what = what_name(s.claim.what);
             json!({
                 "pool": name(0, pool), "node": name(pool, node),
                 "class": (class != 0).then(|| name(0, class)),
@@ -354,6 +382,15 @@
     Some(Said { member: f.origin, subject, claim, age: f.age })
 }
 
+fn what_name(what: What) -> &'static str {
+    match what {
+        What::Sick => "sick",
+        What::Unreachable => "unreachable",
+        What::Well => "well",
+        What::Silent => "silent",
+    }
+}
+
 fn name(state: State) -> &'static str {
     match state {
         State::Alive => "alive",
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -24,6 +24,7 @@
 mod pools;
 mod reasons;
 mod reload;
+mod rounds;
 mod shutdown;
 mod socket_errors;
 mod source;
@@ -42,6 +43,7 @@
 use lease::{Lease, Shared};
 use plan::{Guide, Plan};
 use pools::PoolId;
+use rounds::Rounds;
 use slog::{info, Logger};
 use socket2::{Domain, Protocol, Socket, Type};
 use socket_errors::is_connecting;
@@ -85,9 +87,8 @@
     pub limits: Limits,
     pub clock: Clock,
     pub rng: fastrand::Rng,
-    /// When the sockets were last looked at before the present round of the event loop: what is read in this round came
-    /// later.
-    pub looked: Instant,
+    /// When the sockets are looked at.
+    pub rounds: Rounds,
     scratch: Vec<u8>,
     next: ConnId,
 }
@@ -183,7 +184,10 @@
     let rng = fastrand::Rng::with_seed(plan.seed);
     let scratch = vec![0; limits.read_bytes];
     let now = Instant::now();
-    let net = Net { handle: events.handle(), log, rng, looked: now, scratch, limits, clock, next: 0 };
+    let rounds = Rounds::new(now);
+    let waker = events.handle().insert_source(rounds.waker(), |(), (), _| ());
+    waker.map_err(|e| format!("event loop: {e}"))?;
+    let net = Net { handle: events.handle(), log, rng, rounds, scratch, limits, clock, next: 0 };
     let budgets = pools::Budgets {
         requests: Shared::new(plan.requests),
         connections: Shared::new(net.limits.connections),
@@ -251,12 +255,12 @@
         })
         .map_err(|e| e.to_string())?;
     while !proxy.finished() {
-        let wait = proxy.next_wake().map(|at| at.saturating_duration_since(Instant::now()));
-        // What this round finds has come since the one before waited.
-        let waits_from = Instant::now();
+        let until = proxy.next_wake();
+        let now = Instant::now();
+        proxy.net.rounds.wait(now, until);
+        let wait = until.map(|at| at.saturating_duration_since(now));
         events.dispatch(wait, &mut proxy).map_err(|e| format!("event loop: {e}"))?;
         proxy.turn(Instant::now());
-        proxy.net.looked = waits_from;
     }
     if let Some(fleet) = &mut proxy.fleet {
         fleet.leave();
@@ -300,7 +304,7 @@
             return;
         }
         let seen: Vec<fleet::Seen<'_>> = self.pools.iter().filter(|p| !p.leaving).map(|p| p.seen()).collect();
-        let heard = fleet.look(now, self.net.clock.at(now), &seen);
+        let heard = fleet.look(&self.net.log, now, self.net.clock.at(now), &seen);
         let share = fleet.share();
         self.share_pools(share);
         for (id, hearsay) in heard {
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -4,6 +4,7 @@
 use crate::lease::Lease;
 use crate::pools::PoolId;
 use crate::reasons::CloseReason;
+use crate::rounds::Rounds;
 use crate::socket_errors::is_local_shortage;
 use crate::{ConnId, Net, Proxy, Reading, Watched};
 use garnettally_decisions::facade::{Code, RequestId, ServerId};
@@ -47,6 +48,8 @@
     pub target: Option<Target>,
     pub code: Code,
     pub latency: Duration,
+    /// For how much of that this process did not look at its sockets.
+    pub held_up: Duration,
     pub answer: Option<Answer>,
 }
 
@@ -55,6 +58,8 @@
     sent: Instant,
     /// Its request asks for no body.
     head: bool,
+    /// For how long its connection may have been up unnoticed.
+    held_up: Duration,
 }
 
 struct Conn {
@@ -226,7 +231,7 @@
         let id = *self.flights.get(&attempt)?;
         self.conns.get(&id).filter(|c| c.unwritten())?;
         let conn = self.remove(net, id, CloseReason::Cancelled)?;
-        Some(conn.flight.as_ref()?.end(Code::Moot).at(conn.upstream))
+        Some(conn.flight.as_ref()?.end(Code::Moot, &net.rounds).at(conn.upstream))
     }
 
     /// The attempts at an upstream of which nothing is written yet.
@@ -239,7 +244,7 @@
     pub fn cancel(&mut self, net: &Net, attempt: Attempt) -> Option<Ended> {
         let id = *self.flights.get(&attempt)?;
         let conn = self.remove(net, id, CloseReason::Cancelled)?;
-        Some(conn.flight.as_ref()?.end(Code::Cancelled).at(conn.upstream))
+        Some(conn.flight.as_ref()?.end(Code::Cancelled, &net.rounds).at(conn.upstream))
     }
 }
 
@@ -251,8 +256,11 @@
 }
 
 impl Flight {
-    fn end(&self, code: Code) -> Ended {
-        Ended { attempt: self.attempt, target: None, code, latency: self.sent.elapsed(), answer: None }
+    fn end(&self, code: Code, rounds: &Rounds) -> Ended {
+        let now = Instant::now();
+        let latency = now.saturating_duration_since(self.sent);
+        let held_up = (self.held_up + rounds.held_up(now)).min(latency);
+        Ended { attempt: self.attempt, target: None, code, latency, held_up, answer: None }
     }
 }
 
@@ -283,8 +291,15 @@
         once: bool,
     ) {
         let sent = Instant::now();
-        let latency = Duration::ZERO;
-        let failed = Ended { attempt, target: Some(to), code: Code::ConnectFailed, latency, answer: None };
+        let zero = Duration::ZERO;
+        let failed = Ended {
+            attempt,
+            target: Some(to),
+            code: Code::ConnectFailed,
+            latency: zero,
+            held_up: zero,
+            answer: None,
+        };
         let Some(&address) = self.upstreams.addresses.get(&to) else {
             return self.attempt_ended(failed);
         };
@@ -339,7 +354,7 @@
         conn.written = 0;
         conn.input.clear();
         http::write_request(&mut conn.output, request, &conn.address.to_string(), timeout);
-        conn.flight = Some(Flight { attempt, sent, head: request.method == "HEAD" });
+        conn.flight = Some(Flight { attempt, sent, head: request.method == "HEAD", held_up: zero });
         if conn.open {
             self.upstream_ready(id, true);
         }
@@ -358,6 +373,8 @@
                 return;
             }
             conn.open = true;
+            let held_up = self.net.rounds.held_up(Instant::now());
+            conn.flight.iter_mut().for_each(|f| f.held_up = held_up);
         }
         // It was decided on when the connection was asked for, and that may be long ago; nor can it run before its last
         // byte is written.
@@ -431,7 +448,10 @@
             _ => Code::Error,
         };
         let whole = conn.written == conn.output.len();
-        let Some(ended) = conn.flight.as_ref().map(|f| f.end(code).at(conn.upstream)) else { return };
+        let Some(ended) = conn.flight.as_ref().map(|f| f.end(code, &self.net.rounds).at(conn.upstream))
+        else {
+            return;
+        };
         if open && whole && answer.keep_alive {
             let upstream = conn.upstream;
             (conn.flight, conn.idle_since) = (None, Instant::now());
@@ -449,7 +469,7 @@
         let Some(conn) = self.upstreams.remove(&self.net, id, CloseReason::Broken) else { return };
         if let Some(flight) = &conn.flight {
             self.upstreams.learn_keep(&self.net, &conn, flight);
-            self.attempt_ended(flight.end(conn.broken()).at(conn.upstream));
+            self.attempt_ended(flight.end(conn.broken(), &self.net.rounds).at(conn.upstream));
         }
     }
 
@@ -464,7 +484,7 @@
             let Some(conn) = self.upstreams.remove(&self.net, id, CloseReason::TimedOut) else { continue };
             let code = if conn.unwritten() { Code::ConnectFailed } else { Code::Timeout };
             if let Some(flight) = &conn.flight {
-                self.attempt_ended(flight.end(code).at(conn.upstream));
+                self.attempt_ended(flight.end(code, &self.net.rounds).at(conn.upstream));
             }
         }
     }
--- a/crates/verdicts/src/exchange_tests.rs
+++ b/crates/verdicts/src/exchange_tests.rs
@@ -11,6 +11,8 @@
         since,
         class,
         bad,
+        score: bad,
+        answered: true,
         unreachable: false,
         silent: 0.0,
         at: Micros(at),
@@ -52,3 +54,43 @@
     assert_eq!((back.len(), back[0].bad), (1, 0.0));
     assert_eq!(e.hear(Micros(300), &[], |_| Some(Micros(5))), []);
 }
+
+/// Guards against a member with a broken way to most nodes that is a second voice against each: it has no answer from these,
+/// so it can't tell a node that is sick from a way that is broken. In drills m4, which reaches three nodes of nine, said
+/// `silent` and `sick` of n7 within 0.2 s of the only member that had ejected it, by mistake.
+#[test]
+fn nothing_is_said_of_a_node_that_never_answered() {
+    let never = |o: Opinion| Opinion { answered: false, ..o };
+    let silent = Opinion { silent: 1.0, ..opinion(0.0, 900, 0) };
+    let unreachable = Opinion { unreachable: true, ..opinion(0.8, 900, 0) };
+    for o in [opinion(0.8, 900, 0), silent, unreachable] {
+        assert_eq!(said(&mut Exchange::new("p", &[]), 1_000, o, 10).len(), 1, "{o:?}");
+        assert_eq!(said(&mut Exchange::new("p", &[]), 1_000, never(o), 10), [], "{o:?}");
+    }
+}
+
+/// A member whose way to most nodes breaks later ejects a third of them at the most, and has few calls out: its own fault
+/// shows in the scores, and lasts until these nodes have answered.
+#[test]
+fn a_fault_of_ones_own_shows_in_scores_and_lasts_until_nodes_answer() {
+    const NODES: u32 = 9;
+    let of = |n: u32, score: f64, ejected: bool, ok_at: i64| Opinion {
+        server: ServerId(n),
+        score,
+        bad: if ejected { score } else { 0.0 },
+        ..opinion(0.0, 900, ok_at)
+    };
+    let names: Vec<String> = (0..NODES).map(|n| format!("n{n}")).collect();
+    let say = |e: &mut Exchange, now: i64, opinions: &[Opinion]| {
+        let said = e.speak(Micros(now), opinions, NODES as usize, AGE, |id| &names[id.0 as usize]);
+        said.len()
+    };
+    // Two ejected, three more that have failed all that they got since they answered last.
+    let doubted: Vec<Opinion> = (0..5).map(|n| of(n, 0.6, n < 2, 100)).collect();
+    let mut e = Exchange::new("p", &[]);
+    assert_eq!(say(&mut e, 1_000, &doubted), 0);
+    // One of them answers: four of nine are no fault of this member's.
+    let mut answered = doubted.clone();
+    answered[4] = of(4, 0.3, false, 950);
+    assert_eq!(say(&mut e, 2_000, &answered), 2);
+}
--- a/src/bin/garnettally-benchlink/host.rs
+++ b/src/bin/garnettally-benchlink/host.rs
@@ -180,6 +180,7 @@
             attempt: f.n,
             code,
             latency: Micros(f.latency_us.unwrap_or(0)),
+            held_up: Micros(0),
             terminal: f.terminal,
             load: f.feedback.as_ref().map(|l| Load { held: l.rif }),
         };
