Judge a server by what a delay costs its callers, and a node by ways that have worked

Cause: judge (outlier_ejection.rs) calls an answer wholly bad at 12 times its expected time, however little that is: 14 ms of an aim of 1 s. Each of the ejections logged is of this kind, by 0.8 to 14.0 ms. A time-out that came early passed for an answer (last_ok). overdue ran within the first event of a period, before what a held-up process had read was told. The limit closed by stretch alone. And speak took a node that never answered for sick or silent, own_fault counted only nodes that are ejected, of which there is a most, against all nodes of a pool, not those that a member sends to.

Change: a delay counts from a fiftieth of the class's aim and in full from a tenth; held-up time is taken off latencies; a time-out that proves nothing is no outcome; overdue attempts are looked for when time passes, after what was read; no stretch where served times are under a fiftieth of the aim. Of a node that never answered a member says unreachable, and unreachable and sick are no two voices; scores count for a fault of one's own; a look at opinions waits for untold news.

--- a/crates/decisions/src/balancer/concurrency_limit.rs
+++ b/crates/decisions/src/balancer/concurrency_limit.rs
@@ -56,10 +56,12 @@
 
     /// Overload: the concurrency limit shrinks while served times take too much of the aim, and grows when it
     /// binds though they don't. Guards against crowding, which shows in time over the aim, or, where that is
-    /// far off, over the uncrowded time: servers may tire of a queue that calls have time for.
+    /// far off, over the uncrowded time: servers may tire of a queue that calls have time for. A delay that
+    /// costs nobody anything is no crowding, however fast the servers: a full machine delays by milliseconds.
     pub(super) fn adapt_limit(&mut self) {
         for p in &mut self.pools {
-            let stretch = p.base.map_or(0.0, |base| (p.log - base) / STRETCH.ln());
+            let costs = p.delay >= DELAY_FREE;
+            let stretch = p.base.filter(|_| costs).map_or(0.0, |base| (p.log - base) / STRETCH.ln());
             p.base = p.base.map(|base| base + STRETCH_DRIFT * (p.log - base));
             let crowd = p.crowd.max(CROWDED * stretch);
             if crowd > CROWDED {
--- a/crates/decisions/src/balancer/membership.rs
+++ b/crates/decisions/src/balancer/membership.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// How many servers this instance sends to now.
+    pub(crate) fn sends_to(&self) -> usize {
+        let is_ready = |&&i: &&u32| self.servers[i as usize].news.state == Listed::Ready;
+        self.members.iter().filter(is_ready).count()
+    }
+
     pub(super) fn news(&mut self, form: Form, entries: &[ServerNews]) {
         if let Some(s) = self.subscription.as_mut().filter(|_| form != Form::Cached) {
             s.heard();
--- a/crates/decisions/src/balancer/mod.rs
+++ b/crates/decisions/src/balancer/mod.rs
@@ -28,7 +28,7 @@
 use concurrency_limit::{CROWDED, LIMIT_CHANCE, LIMIT_FIRST, STRETCH_MEAN};
 use list_freshness::NEVER;
 pub use outlier_ejection::BAD_EJECT;
-use outlier_ejection::{marks_of, BAD_MEAN, OVERDUE};
+use outlier_ejection::{marks_of, BAD_MEAN, DELAY_FREE, OVERDUE};
 use period::PERIOD_MEAN;
 use pricing::{CALL_MEAN, FIRST_PRICE};
 use request_faults::STRUCK;
@@ -65,6 +65,7 @@
     line: Line,
     quota: Vec<f64>,
     next_period: Micros,
+    looks_for_overdue: bool, // A period has ended since attempts were last looked at
     timer: Micros,
     st: Stats,
     pools: Vec<Pool>,
@@ -111,7 +112,7 @@
             Event::Outcome(outcome) => self.outcome(outcome, actions),
             Event::Gone(id) => self.over(id, actions),
             Event::Hearsay(heard) => self.hear(heard, actions),
-            Event::Timer(_) => {}
+            Event::Timer(_) => self.overdue(actions),
         }
         let ask = self.subscription.as_mut().is_some_and(|s| s.poll(self.now));
         actions.extend(ask.then_some(Action::Watch));
--- a/crates/decisions/src/balancer/outcome.rs
+++ b/crates/decisions/src/balancer/outcome.rs
@@ -14,6 +14,8 @@
             turn.rest = self.now + self.set.key_rest;
             actions.push(Action::Timer { at: turn.rest, token: TICK + 1 });
         }
+        // What this process was held up by tells of nobody else.
+        let o = Outcome { latency: o.latency - o.held_up, ..o };
         let expected = self.line.at(price).max(1.0);
         let sides = [class, r.tenant];
         let fault = self.requests.get(&o.id).map_or(0.0, |r| self.fault(r));
--- a/crates/decisions/src/balancer/outlier_ejection.rs
+++ b/crates/decisions/src/balancer/outlier_ejection.rs
@@ -8,10 +8,24 @@
 const BAD_WELL: f64 = 0.1; // the score under which a server is well again
 const SLOW_FROM: f64 = 4.0; // an answer is bad from this multiple of its expected time: 1 in 50
 const SLOW_OVER: f64 = 8.0; // and wholly bad so many multiples later
+const TIMEOUT_OVER: f64 = 3.0; // the same of a time-out, which is bad from once its expected time on
+/// A delay by less than this part of the aim costs the caller nothing, and proves nothing of a server,
+/// however fast it is as a rule: any machine that is full does that.
+pub(super) const DELAY_FREE: f64 = 0.02;
+const DELAY_COSTS: f64 = 0.1; // and by this part it counts in full
 const EJECT_FIRST: Micros = Micros(1_000_000); // a few times a call; doubled up to what discovery takes
 const EJECT_DOUBLINGS: u32 = 4;
 const EJECT_SHARE: usize = 3; // panic threshold: one in so many; beyond it the trouble is not theirs alone
 
+/// An attempt that is out for far longer than expected.
+struct Overdue {
+    id: RequestId,
+    attempt: u32,
+    class: usize,
+    out: Micros,
+    expected: Micros,
+}
+
 impl Balancer {
     /// Not ejected, as a whole or for the class; or due for a single trial, by what is safe to repeat, or,
     /// where none such has come for as long again, by anything: it must come back too.
@@ -57,23 +71,29 @@
         }
         let bad = match o.code {
             // Slow answers tell of a slow server as time-outs do, from further off: work is heavy-tailed.
-            Code::Ok => ((o.latency.0 as f64 / expected - SLOW_FROM) / SLOW_OVER).clamp(0.0, 1.0),
+            Code::Ok => self.lateness(class, o.latency, SLOW_FROM * expected, SLOW_OVER * expected),
             Code::Error | Code::Reset | Code::ConnectFailed => 1.0,
             // One that was overdue has told; another tells as much as it was late when its time was up.
             Code::Timeout | Code::Cancelled if flight.overdue => {
                 return marks_of(s, class).for_each(|m| m.tried(now, first, false));
             }
-            Code::Timeout => ((o.latency.0 as f64 / expected - 1.0) / 3.0).clamp(0.0, 1.0),
-            _ => return marks_of(s, class).for_each(|m| m.trial = false),
+            Code::Timeout => self.lateness(class, o.latency, expected, TIMEOUT_OVER * expected),
+            _ => 0.0,
         } * part;
-        s.last_ok = if bad == 0.0 { now } else { s.last_ok };
+        let s = &mut self.servers[server.0 as usize];
+        let answered_well = o.code == Code::Ok && bad == 0.0;
+        // Its time was up, or it was given up, before it could tell anything.
+        if bad == 0.0 && !matches!(o.code, Code::Ok | Code::Error) {
+            return marks_of(s, class).for_each(|m| m.trial = false);
+        }
+        s.last_ok = if answered_well { now } else { s.last_ok };
         if bad > 0.0 {
             let (latency, held_up, expected) = (o.latency, o.held_up, Micros(expected as i64));
             s.last_bad = Some(BadOutcome { code: Some(o.code), latency, held_up, expected });
         }
         score(s, class, bad, now);
         // Called gone, it answers: the list is wrong. Or nobody is there.
-        if s.doubted && bad == 0.0 {
+        if s.doubted && answered_well {
             (s.doubted, self.stale) = (false, true);
         } else if s.doubted && o.code == Code::ConnectFailed {
             let out = now + doubled(first, EJECT_DOUBLINGS);
@@ -88,33 +108,48 @@
         }
     }
 
+    /// How far an answer is late, 0 to 1: from so many microseconds on, in full so many later. Neither is less
+    /// than what a delay costs the caller.
+    fn lateness(&self, class: usize, latency: Micros, from: f64, over: f64) -> f64 {
+        let aim = self.set.classes[class].aim.0 as f64;
+        let from = from.max(DELAY_FREE * aim);
+        let over = over.max((DELAY_COSTS - DELAY_FREE) * aim).max(1.0);
+        ((latency.0 as f64 - from) / over).clamp(0.0, 1.0)
+    }
+
     /// An attempt far past its expected time speaks against its server, if nothing was answered since it
     /// went out: a hung server shows in nothing else. Where rule 2 and the budget let it, it is called off.
-    /// Harm: a heavy call ejects a good server for a while. One that still answers is left alone.
+    /// Harm: a heavy call ejects a good server for a while. One that still answers is left alone. Only when
+    /// time alone passes: all that had come by then has been told, one after the other.
     pub(super) fn overdue(&mut self, actions: &mut Vec<Action>) {
+        if !std::mem::take(&mut self.looks_for_overdue) {
+            return;
+        }
         let now = self.now;
         let mut silent = Vec::new();
         for &i in &self.busy {
             let s = &mut self.servers[i as usize];
-            let mut told = Vec::new();
-            for f in s.flights.iter_mut().filter(|f| !f.overdue && f.overdue_at <= now) {
+            let last_ok = s.last_ok;
+            let due = s.flights.iter_mut().filter(|f| !f.overdue && f.overdue_at <= now);
+            let mut told: Vec<Overdue> = Vec::new();
+            for f in due {
                 f.overdue = true;
                 let expected = Micros((f.overdue_at - f.sent - PERIOD).0.max(0) / OVERDUE as i64);
-                told.extend((s.last_ok <= f.sent).then_some((
-                    f.id,
-                    f.attempt,
-                    f.class,
-                    now - f.sent,
-                    expected,
-                )));
+                let overdue =
+                    Overdue { id: f.id, attempt: f.attempt, class: f.class, out: now - f.sent, expected };
+                told.extend((last_ok <= f.sent).then_some(overdue));
             }
-            for &(_, _, class, latency, expected) in &told {
-                score(s, class, 1.0, now);
+            for overdue in &told {
+                score(s, overdue.class, 1.0, now);
+                let (latency, expected) = (overdue.out, overdue.expected);
                 s.last_bad = Some(BadOutcome { code: None, latency, held_up: Micros(0), expected });
             }
             silent.extend(told);
         }
-        for (id, attempt, ..) in silent {
+        if !silent.is_empty() {
+            self.eject(actions);
+        }
+        for Overdue { id, attempt, .. } in silent {
             let Some(r) = self.requests.get(&id).filter(|r| !r.over && self.set.may_cancel) else { continue };
             let again = !matches!(self.set.classes[r.class].effect, Effect::Unsafe)
                 && r.attempts.len() < self.set.max_attempts as usize;
--- a/crates/decisions/src/balancer/period.rs
+++ b/crates/decisions/src/balancer/period.rs
@@ -46,7 +46,7 @@
         for (&i, w) in self.busy.iter().zip(&loads) {
             self.servers[i as usize].weight = *w;
         }
-        self.overdue(actions);
+        self.looks_for_overdue = true;
         if now < self.cold_until {
             self.slow_start(ended);
         }
--- a/crates/decisions/src/balancer/pricing.rs
+++ b/crates/decisions/src/balancer/pricing.rs
@@ -43,6 +43,8 @@
         pool.ratio += CALL_MEAN * (ratio - pool.ratio);
         // Heavy-tailed: logarithms. The root of the price: a part of the time grows with it, a part does not.
         pool.logs += 1.0;
+        let aim = self.set.classes[class].aim.0.max(1) as f64;
+        pool.delay += STRETCH_MEAN.max(1.0 / pool.logs) * (time / aim - pool.delay);
         let log = time.max(1.0).ln() - 0.5 * price.max(1.0).ln();
         pool.log += STRETCH_MEAN.max(1.0 / pool.logs) * (log - pool.log);
         if pool.logs * STRETCH_MEAN >= 1.0 {
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -4,7 +4,7 @@
 use crate::balancer::{Balancer, BAD_EJECT};
 use crate::state::{Flight, Mark};
 use garnettally_model::{
-    Action, Event, Form, Hearsay, HostList, Load, Names, NewRequest, Opinion, Outcome, Site,
+    Action, Event, Findings, Form, Hearsay, HostList, Load, Names, NewRequest, Opinion, Outcome, Site,
 };
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -229,8 +229,13 @@
         self.balancer.share(instances.max(1), me.min(instances.saturating_sub(1)));
     }
 
-    /// What this instance has found out by its own calls, by upstream: of those that it has had doubts about.
-    pub fn opinions(&self, now: Micros) -> Vec<Opinion> {
+    /// What this instance has found out by its own calls.
+    pub fn findings(&self, now: Micros) -> Findings {
+        Findings { sends_to: self.balancer.sends_to(), opinions: self.opinions(now) }
+    }
+
+    /// What it has found out of those upstreams that it has had doubts about.
+    fn opinions(&self, now: Micros) -> Vec<Opinion> {
         let mut all = Vec::new();
         let no_mark = [Mark::default()];
         for s in self.balancer.servers().iter().filter(|s| s.news.state == Listed::Ready) {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -98,6 +98,7 @@
     pub out: usize, // Calls in flight, and how many there may be
     pub limit: f64,
     pub carry: f64, // Servers that the limit is for, cold ones by the part of their capacity that they have
+    pub delay: f64, // Served time as a part of the aim, a running mean
     pub ratio: f64, // Served time over what is expected of all, a running mean, and the mean of its units
     pub units: f64,
     pub crowd: f64, // Served time over the aim, squared: the late ones count most
--- a/crates/emulator/src/day/links.rs
+++ b/crates/emulator/src/day/links.rs
@@ -30,7 +30,7 @@
         }
         let Some(fleet) = self.fleet.as_mut().filter(|f| f.is_due(now, member)) else { return };
         let (policy, places) = (&self.balancers[member].policy, &self.places);
-        let step = fleet.wake(now, member, || policy.opinions(now), |id| places[id.0 as usize].since);
+        let step = fleet.wake(now, member, || policy.findings(now), |id| places[id.0 as usize].since);
         self.stepped(now, member, step);
     }
 
--- a/crates/emulator/src/fleet.rs
+++ b/crates/emulator/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use crate::draw::Stream;
 use crate::world::{FleetLink, World};
-use garnettally_model::{Hearsay, Micros, Opinion, ServerId};
+use garnettally_model::{Findings, Hearsay, Micros, ServerId};
 use garnettally_peers::{Input, Output, Peers, Settings, State};
 use garnettally_verdicts::{merge, Claim, Exchange, Said, Subject, View};
 use rustc_hash::FxHashMap;
@@ -146,7 +146,7 @@
         &mut self,
         now: Micros,
         at: usize,
-        opinions: impl FnOnce() -> Vec<Opinion>,
+        findings: impl FnOnce() -> Findings,
         since: impl Fn(ServerId) -> Option<Micros>,
     ) -> Step {
         let m = &mut self.members[at];
@@ -160,7 +160,7 @@
             let names = &self.nodes;
             let name = |id: ServerId| names[id.0 as usize].as_str();
             m.exchange.meet(names.len(), &name);
-            for (key, value, age) in m.exchange.speak(now, &opinions(), names.len(), self.max_age, name) {
+            for (key, value, age) in m.exchange.speak(now, &findings(), self.max_age, name) {
                 m.peers.publish(now, &key, &value, age);
             }
             let version = m.peers.facts_version();
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -2,7 +2,7 @@
 
 use crate::references::{Reference, Rule};
 use garnettally_decisions::facade::{Ask, Decision, Decisions, Micros, Report};
-use garnettally_model::{Listed, Opinion, Settings, Site};
+use garnettally_model::{Findings, Listed, Settings, Site};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -107,8 +107,8 @@
     /// When time is to pass next.
     fn next_tick(&self) -> Option<Micros>;
     /// What it has found out by its own calls. References find out nothing.
-    fn opinions(&self, _now: Micros) -> Vec<Opinion> {
-        Vec::new()
+    fn findings(&self, _now: Micros) -> Findings {
+        Findings::default()
     }
 }
 
@@ -125,8 +125,8 @@
     fn next_tick(&self) -> Option<Micros> {
         Decisions::next_tick(self)
     }
-    fn opinions(&self, now: Micros) -> Vec<Opinion> {
-        Decisions::opinions(self, now)
+    fn findings(&self, now: Micros) -> Findings {
+        Decisions::findings(self, now)
     }
 }
 
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -337,6 +337,15 @@
     pub tries: bool,
 }
 
+/// What an instance has found out by its own calls.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Findings {
+    /// How many servers it sends to: all that are ready, or its subset of them.
+    pub sends_to: usize,
+    /// Of those that it has had doubts about.
+    pub opinions: Vec<Opinion>,
+}
+
 /// What an instance has found out about a server by its own calls.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Opinion {
--- a/crates/serve/src/fleet.rs
+++ b/crates/serve/src/fleet.rs
@@ -37,6 +37,8 @@
     duties: Option<FleetDuties>,
     export: Option<Export>,
     look_at: Instant,
+    /// The look that is due was put off already.
+    is_postponed: bool,
     /// Up to which fact, and when, what members say was last merged.
     merged: (u64, Instant),
     /// Verdicts that modules go by.
@@ -103,6 +105,7 @@
             exchanges: BTreeMap::new(),
             names: FxHashMap::default(),
             look_at: now,
+            is_postponed: false,
             merged: (0, now),
             acted_on: 0,
         })
@@ -168,6 +171,15 @@
         self.look_at <= now
     }
 
+    /// Puts the look that is due off to this time, but not twice in a row. Whether it did.
+    pub fn postpone_look(&mut self, until: Instant) -> bool {
+        let postpones = !self.is_postponed;
+        if postpones {
+            (self.look_at, self.is_postponed) = (until, true);
+        }
+        postpones
+    }
+
     /// Tells members what these pools' modules have found, and gives what each is to hear. `at` is their time.
     pub fn look(
         &mut self,
@@ -176,7 +188,7 @@
         at: Micros,
         pools: &[Seen<'_>],
     ) -> Vec<(PoolId, Hearsay)> {
-        self.look_at = now + LOOK;
+        (self.look_at, self.is_postponed) = (now + LOOK, false);
         self.exchanges.retain(|id, _| pools.iter().any(|p| p.id == *id));
         let max_age = Micros(self.settings.max_age.as_micros() as i64);
         for p in pools {
@@ -191,8 +203,8 @@
             for class in p.classes {
                 self.names.entry((0, hash(class))).or_insert_with(|| class.to_string());
             }
-            let opinions = p.decisions.opinions(at);
-            for (key, value, age) in e.speak(at, &opinions, p.decisions.ready(), max_age, name) {
+            let findings = p.decisions.findings(at);
+            for (key, value, age) in e.speak(at, &findings, max_age, name) {
                 self.link.publish(&key, &value, Duration::from_micros(age.0.max(0) as u64));
             }
         }
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -297,10 +297,13 @@
     /// The link's own work, and what the modules and the other members have to tell each other.
     fn tend_fleet(&mut self, now: Instant) {
         let drained = self.shutdown.ending() || self.admin.draining();
+        // What was read and is not told yet would pass for silence.
+        let untold = self.pools.iter().any(|p| p.first_news().is_some());
+        let told_at = self.next_consultation().filter(|_| untold);
         let Some(fleet) = &mut self.fleet else { return };
         fleet.drain(drained);
         fleet.turn(&mut self.net, self.stats.figures(), now);
-        if !fleet.looks(now) {
+        if !fleet.looks(now) || told_at.is_some_and(|at| fleet.postpone_look(at)) {
             return;
         }
         let seen: Vec<fleet::Seen<'_>> = self.pools.iter().filter(|p| !p.leaving).map(|p| p.seen()).collect();
--- a/crates/verdicts/src/exchange.rs
+++ b/crates/verdicts/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use crate::claim::{hash, Claim, Subject, What};
 use crate::merge::{own_fault, Prior};
-use garnettally_model::{ClassId, Hearsay, Micros, Opinion, ServerId};
+use garnettally_model::{ClassId, Findings, Hearsay, Micros, Opinion, ServerId};
 use rustc_hash::FxHashMap;
 
 /// What is to be said: key, value, and how old it is.
@@ -29,6 +29,8 @@
 /// A call that is out for this part of the time that makes one sure: five times what it was expected to take, where
 /// an answer of exponential time takes longer once in 150.
 const SILENT: f64 = 0.4;
+/// A node whose outlier score is this is ejected, where there are not too many of them.
+const DOUBTED: f64 = 0.4;
 /// What several such voices come to: enough to be ejected by.
 const SILENT_BAD: f64 = 0.6;
 /// Evidence that is renewed is said again after this part of the bound on ages.
@@ -36,6 +38,12 @@
 /// A verdict that changes by less need not be told anew.
 const CHANGE: f64 = 0.1;
 
+/// Whether this member has reason to think that a node, or the way there, is bad. More are than are ejected: of these there
+/// is a most, and a call that is out is soon called off. It lasts until the node has answered well.
+fn is_doubted(o: &Opinion) -> bool {
+    o.bad > 0.0 || o.silent >= SILENT || (o.score >= DOUBTED && o.ok_at < o.at)
+}
+
 impl Exchange {
     /// For the pool of this name, with these classes.
     pub fn new(pool: &str, classes: &[String]) -> Exchange {
@@ -64,29 +72,30 @@
         self.numbers.get(&hash).copied()
     }
 
-    /// What is to be said anew. `ready`: how many nodes the pool has; `name` tells a node's.
+    /// What is to be said anew; `name` tells a node's.
     pub fn speak<'n>(
         &mut self,
         now: Micros,
-        opinions: &[Opinion],
-        ready: usize,
+        findings: &Findings,
         max_age: Micros,
         name: impl Fn(ServerId) -> &'n str,
     ) -> Vec<Saying> {
-        let bad = opinions.iter().filter(|o| o.bad > 0.0 || o.silent >= SILENT);
-        let mut nodes: Vec<u32> = bad.map(|o| o.server.0).collect();
+        let opinions = &findings.opinions;
+        let mut nodes: Vec<u32> = opinions.iter().filter(|o| is_doubted(o)).map(|o| o.server.0).collect();
         nodes.dedup();
         // Most of them bad: the broken link is this member's own.
-        let silent = own_fault(nodes.len(), ready);
+        let silent = own_fault(nodes.len(), findings.sends_to);
         let mut sayings = Vec::new();
         for o in opinions {
             let subject = self.subject(o, &name);
             let before = self.spoken.get(&subject);
-            let found = match (o.bad > 0.0, o.unreachable) {
-                (true, true) => Some((What::Unreachable, o.bad, o.at)),
-                (true, false) => Some((What::Sick, o.bad, o.at)),
+            // Where nothing ever came back, a node that is sick and a way that is broken look the same.
+            let is_reached = o.answered && !o.unreachable;
+            let found = match (o.bad > 0.0, is_reached) {
+                (true, false) => Some((What::Unreachable, o.bad, o.at)),
+                (true, true) => Some((What::Sick, o.bad, o.at)),
                 // It is silent now.
-                (false, _) if o.silent >= SILENT => Some((What::Silent, SILENT_BAD, now)),
+                (false, _) if o.silent >= SILENT && o.answered => Some((What::Silent, SILENT_BAD, now)),
                 _ => None,
             };
             if let Some((what, bad, at)) = found.filter(|_| !silent) {
--- a/crates/verdicts/src/exchange_tests.rs
+++ b/crates/verdicts/src/exchange_tests.rs
@@ -20,8 +20,12 @@
     }
 }
 
-fn said(e: &mut Exchange, now: i64, o: Opinion, ready: usize) -> Vec<(Claim, i64)> {
-    let sayings = e.speak(Micros(now), &[o], ready, AGE, |_| "n");
+fn findings(sends_to: usize, opinions: &[Opinion]) -> Findings {
+    Findings { sends_to, opinions: opinions.to_vec() }
+}
+
+fn said(e: &mut Exchange, now: i64, o: Opinion, sends_to: usize) -> Vec<(Claim, i64)> {
+    let sayings = e.speak(Micros(now), &findings(sends_to, &[o]), AGE, |_| "n");
     sayings.into_iter().map(|(_, v, age)| (Claim::of_value(&v).unwrap(), age.0)).collect()
 }
 
@@ -57,15 +61,23 @@
 
 /// Guards against a member with a broken way to most nodes that is a second voice against each: it has no answer from these,
 /// so it can't tell a node that is sick from a way that is broken. In drills m4, which reaches three nodes of nine, said
-/// `silent` and `sick` of n7 within 0.2 s of the only member that had ejected it, by mistake.
+/// `silent` and `sick` of n7 within 0.2 s of the only member that had ejected it, by mistake; and so did m3 of n1 and n2,
+/// which it never reached.
 #[test]
-fn nothing_is_said_of_a_node_that_never_answered() {
-    let never = |o: Opinion| Opinion { answered: false, ..o };
+fn a_node_that_never_answered_is_no_sick_one_but_one_that_cannot_be_reached() {
+    let what = |o: Opinion| -> Vec<What> {
+        let said = said(&mut Exchange::new("p", &[]), 1_000, o, 10);
+        said.into_iter().map(|(claim, _)| claim.what).collect()
+    };
     let silent = Opinion { silent: 1.0, ..opinion(0.0, 900, 0) };
-    let unreachable = Opinion { unreachable: true, ..opinion(0.8, 900, 0) };
-    for o in [opinion(0.8, 900, 0), silent, unreachable] {
-        assert_eq!(said(&mut Exchange::new("p", &[]), 1_000, o, 10).len(), 1, "{o:?}");
-        assert_eq!(said(&mut Exchange::new("p", &[]), 1_000, never(o), 10), [], "{o:?}");
+    let refused = Opinion { unreachable: true, ..opinion(0.8, 900, 0) };
+    for (o, answered, never) in [
+        (opinion(0.8, 900, 0), vec![What::Sick], vec![What::Unreachable]),
+        (silent, vec![What::Silent], vec![]),
+        (refused, vec![What::Unreachable], vec![What::Unreachable]),
+    ] {
+        assert_eq!(what(o), answered, "{o:?}");
+        assert_eq!(what(Opinion { answered: false, ..o }), never, "{o:?}");
     }
 }
 
@@ -82,7 +94,8 @@
     };
     let names: Vec<String> = (0..NODES).map(|n| format!("n{n}")).collect();
     let say = |e: &mut Exchange, now: i64, opinions: &[Opinion]| {
-        let said = e.speak(Micros(now), opinions, NODES as usize, AGE, |id| &names[id.0 as usize]);
+        let findings = findings(NODES as usize, opinions);
+        let said = e.speak(Micros(now), &findings, AGE, |id| &names[id.0 as usize]);
         said.len()
     };
     // Two ejected, three more that have failed all that they got since they answered last.
--- a/crates/verdicts/src/merge.rs
+++ b/crates/verdicts/src/merge.rs
@@ -64,6 +64,18 @@
     nodes >= OWN_FAULT_NODES && bad * OWN_FAULT > nodes
 }
 
+fn members_of(claims: &[&Said]) -> FxHashSet<u64> {
+    claims.iter().map(|s| s.member).collect()
+}
+
+/// How many members have to find a node sick or silent: one that is sure, and one for whom it is silent, are two voices.
+fn sick_quorum(claims: &[&Said], quorum: usize) -> usize {
+    match claims.iter().any(|s| s.claim.what == What::Sick) {
+        true => quorum,
+        false => SILENT_QUORUM,
+    }
+}
+
 /// Merges what all say, this member included. Only others' words make a prior; its own module knows the rest.
 pub fn merge(said: &[Said], view: &View<'_>) -> Vec<Prior> {
     let mut bad_nodes: FxHashMap<(u64, u64), FxHashSet<u64>> = FxHashMap::default();
@@ -90,17 +102,20 @@
                 && (s.claim.what != What::Unreachable || near)
                 && well.is_none_or(|well| s.age < well)
         };
-        let claims: Vec<&&Said> = all.iter().filter(counts).collect();
-        let members: FxHashSet<u64> = claims.iter().map(|s| s.member).collect();
+        let claims: Vec<&Said> = all.iter().filter(counts).copied().collect();
+        // A way that is broken is no second voice for a node that is sick: they say different things.
+        let (unreachable, sick): (Vec<&Said>, Vec<&Said>) =
+            claims.into_iter().partition(|s| s.claim.what == What::Unreachable);
+        let mut claims = Vec::new();
+        if members_of(&sick).len() >= sick_quorum(&sick, quorum) {
+            claims.extend(sick);
+        }
+        if members_of(&unreachable).len() >= quorum {
+            claims.extend(unreachable);
+        }
+        let members = members_of(&claims);
         let others = claims.iter().filter(|s| s.member != view.me);
         let Some(age) = others.clone().map(|s| s.age).min() else { continue };
-        // One that is sure, and one for whom it is silent, are two voices.
-        let sure: FxHashSet<u64> =
-            claims.iter().filter(|s| s.claim.what != What::Silent).map(|s| s.member).collect();
-        let silent_quorum = if sure.is_empty() { SILENT_QUORUM } else { quorum };
-        if members.len() < silent_quorum {
-            continue;
-        }
         let bad = others.map(|s| s.claim.bad).fold(0.0, f64::max);
         let there = members.iter().filter(|&&m| m == view.me || (view.lives)(m));
         let mut triers: Vec<(u64, u64)> =
--- a/crates/verdicts/src/merge_tests.rs
+++ b/crates/verdicts/src/merge_tests.rs
@@ -46,6 +46,16 @@
     assert_eq!(heard(&[said(101, 7, What::Unreachable, 5), said(103, 7, What::Unreachable, 5)]), []);
 }
 
+/// Guards against a member whose way to a node is broken, and makes a verdict of another's mistake.
+#[test]
+fn one_that_cannot_reach_a_node_is_no_second_voice_for_it_being_sick() {
+    let unreachable = said(3, 7, What::Unreachable, 5);
+    assert_eq!(heard(&[said(2, 7, What::Sick, 5), unreachable]), []);
+    assert_eq!(heard(&[said(2, 7, What::Silent, 5), unreachable, said(5, 7, What::Silent, 5)]), []);
+    assert_eq!(heard(&[said(2, 7, What::Sick, 5), unreachable, said(5, 7, What::Unreachable, 5)]), [7]);
+    assert_eq!(heard(&[said(2, 7, What::Sick, 5), unreachable, said(4, 7, What::Silent, 5)]), [7]);
+}
+
 #[test]
 fn a_good_answer_ends_what_was_found_before_it() {
     let sick = [said(2, 7, What::Sick, 50), said(3, 7, What::Sick, 60)];
