--- a/crates/decisions/src/balancer/outlier_ejection.rs
+++ b/crates/decisions/src/balancer/outlier_ejection.rs
@@ -108,8 +108,8 @@
         }
     }
 
-    /// How far an answer is late, 0 to 1: from so many microseconds on, in full so many later. Neither is less
-    /// than what a delay costs the caller.
+    /// How far an answer is late, 0 to 1: from so many microseconds on, in full so many later. Neither is
+    /// less than what a delay costs the caller.
     fn lateness(&self, class: usize, latency: Micros, from: f64, over: f64) -> f64 {
         let aim = self.set.classes[class].aim.0 as f64;
         let from = from.max(DELAY_FREE * aim);
