--- a/crates/decisions/tests/support/mod.rs
+++ b/crates/decisions/tests/support/mod.rs
@@ -84,6 +84,15 @@
         })
     }
 
+    /// The requests that were sent just now.
+    pub fn sends(&self) -> Vec<u64> {
+        let sends = self.acts.iter().filter_map(|a| match a {
+            Action::Send { id, .. } => Some(id.0),
+            _ => None,
+        });
+        sends.collect()
+    }
+
     pub fn end(&mut self, id: u64, attempt: u32, code: Code, latency: i64, load: Option<Load>) {
         self.end_held_up(id, attempt, code, (latency, 0), load);
     }
