--- a/tests/list_age.rs
+++ b/tests/list_age.rs
@@ -12,8 +12,18 @@
 const QUIET: Duration = Duration::from_secs(1);
 const FAULT: Duration = Duration::from_secs(13);
 
-/// So long after the end of the fault the process has its list again, and serves.
+/// So long after the end of the fault the process has its list again, and serves; in a large fleet, in which a call is made
+/// every 6 s or so, within this.
 const RECOVERS_WITHIN: Duration = Duration::from_secs(5);
+const LARGE_FLEET_RECOVERS_WITHIN: Duration = Duration::from_secs(9);
+const LARGE_FLEET: u32 = 300;
+
+fn recovers_within(instances: u32) -> Duration {
+    match instances {
+        LARGE_FLEET.. => LARGE_FLEET_RECOVERS_WITHIN,
+        _ => RECOVERS_WITHIN,
+    }
+}
 
 const fn ms(milliseconds: u64) -> Duration {
     Duration::from_millis(milliseconds)
@@ -89,9 +99,10 @@
     scene.discovery.service.set_lateness(Lateness::default());
     scene.discovery.answer_calls(CallAnswer::Whole);
     let ended = Instant::now();
-    thread::sleep(RECOVERS_WITHIN + QUIET);
+    let recovers_within = recovers_within(fault.instances);
+    thread::sleep(recovers_within + QUIET);
     let before = scene.served_between(begun - QUIET, begun);
-    let recovered = scene.served_between(ended + RECOVERS_WITHIN, Instant::now());
+    let recovered = scene.served_between(ended + recovers_within, Instant::now());
     Finding { fault, breaks, before, recovered }
 }
 
@@ -155,6 +166,25 @@
     check(faults.collect());
 }
 
+/// The same in a large fleet, where calls that are turned away by 503 pass for an outage for a while. A connection that comes up
+/// shows that somebody is there: one that ends, or stays, without a byte is no outage of the platform's discovery, which answers
+/// 503 (on a rough herd day of the bench, all of 315 failed calls). Seen before the mend: 115 to 173 requests too late in six of the
+/// seven scenes.
+#[test]
+fn calls_that_bring_no_byte_keep_no_list_in_use_in_a_large_fleet() {
+    use CallAnswer::{Closed, ClosedLate, Late, Reset, Silence, Whole};
+    let rows: [(&str, &[CallAnswer]); 7] = [
+        ("each call closed", &[Closed]),
+        ("each call reset", &[Reset]),
+        ("each call ended late", &[ClosedLate]),
+        ("each call silent", &[Silence]),
+        ("each third call whole", &[Closed, Reset, Whole]),
+        ("each fourth call whole", &[Closed, Reset, ClosedLate, Whole]),
+        ("whole, 2 s late, then closed", &[Late(ms(2_000)), Closed, Closed, Closed, Closed]),
+    ];
+    check(rows.iter().map(|&(title, answers)| Fault::of_calls(title, LARGE_FLEET, answers)).collect());
+}
+
 /// Guards against what new configurations in series renew, put off or bring back.
 #[test]
 fn new_configurations_in_series_keep_no_list_in_use() {
