Take a call without a byte for no outage, and keep a list stale once it is

Cause: evidence.rs sorted a connection that came up and brought no byte with a 503: unclear, so doubt renewed the lease for up to 96 s (may_have_been_out_of_reach, knowledge.rs); and a list that was stale came into use again by a later 503.

Change: Doubt tells calls that were turned away from calls that were not answered; the latter give no time past the lease, in a fleet of any size, and doubt gives none to a list that is stale. The test of 90 s of doubt held all three kinds to it; it holds 503 to it now and the other two to the lease, which is stricter.

--- a/crates/subscription/src/evidence.rs
+++ b/crates/subscription/src/evidence.rs
@@ -2,7 +2,7 @@
 //!
 //! The one table that sorts it. Whatever is not named here moves nothing.
 
-use crate::knowledge::Loss;
+use crate::knowledge::{Doubt, Loss};
 use garnettally_model::CallFailure;
 
 /// What a failure proves of the registry at the time of the call.
@@ -12,8 +12,8 @@
     Up,
     /// Nobody could reach it.
     Down,
-    /// It may be down, or have too much to do.
-    Unclear,
+    /// It may be down, or have too much to do, or this process alone is not heard.
+    Unclear(Doubt),
     /// Nothing: the failure is of this process.
     Nothing,
 }
@@ -23,7 +23,8 @@
     match failure {
         CallFailure::NoSocket => Proof::Nothing,
         CallFailure::NoConnection => Proof::Down,
-        CallFailure::ClosedBeforeAnswer | CallFailure::NoAnswer | CallFailure::Busy => Proof::Unclear,
+        CallFailure::Busy => Proof::Unclear(Doubt::TurnedAway),
+        CallFailure::ClosedBeforeAnswer | CallFailure::NoAnswer => Proof::Unclear(Doubt::Unanswered),
         // Any byte of an answer shows that the registry is there.
         CallFailure::OtherStatus
         | CallFailure::IncompleteAnswer
--- a/crates/subscription/src/knowledge.rs
+++ b/crates/subscription/src/knowledge.rs
@@ -38,6 +38,15 @@
     Incomplete,
 }
 
+/// How a call ended that leaves open whether the registry can be reached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    /// Whoever answers for it turned the call away: it may be down, or have too much to do.
+    TurnedAway,
+    /// A connection came up, so somebody is there, and brought no byte of an answer. That is no sign of an outage.
+    Unanswered,
+}
+
 /// By what the list is known to be good.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Evidence {
@@ -94,15 +103,20 @@
         self.good_until = self.good_until.max(at + leases.whole);
     }
 
-    /// The registry was out of reach at this time, or had too much to do. A list that was complete has the benefit of the
-    /// doubt for a bounded time; one that may be of any age, or may lack something, has none.
-    pub fn may_have_been_out_of_reach(&mut self, at: Micros, leases: Leases) {
+    /// The registry was out of reach at this time, or had too much to do, or did not hear this process. A list that was complete,
+    /// and was still good then, has the benefit of the doubt for a bounded time; one that may be of any age, or may lack
+    /// something, has none, and one that is stale stays so.
+    pub fn may_have_been_out_of_reach(&mut self, at: Micros, doubt: Doubt, leases: Leases) {
         match self.evidence {
             Evidence::None | Evidence::EndedWatch | Evidence::Incomplete => return,
+            Evidence::Watch | Evidence::OutOfReach | Evidence::Doubt if at >= self.good_until => return,
             Evidence::Watch | Evidence::OutOfReach | Evidence::Doubt => {}
         }
-        self.evidence = Evidence::Doubt;
-        let most = if leases.is_strict { Micros(0) } else { DOUBT_MOST };
+        let (evidence, most) = match doubt {
+            Doubt::TurnedAway if !leases.is_strict => (Evidence::Doubt, DOUBT_MOST),
+            Doubt::TurnedAway | Doubt::Unanswered => (Evidence::Watch, Micros(0)),
+        };
+        self.evidence = evidence;
         let renewed = at.min(self.complete_until + most) + leases.whole;
         self.good_until = self.good_until.max(renewed);
     }
--- a/crates/subscription/src/lib.rs
+++ b/crates/subscription/src/lib.rs
@@ -255,11 +255,11 @@
     fn call_failed(&mut self, asked: Micros, now: Micros, failure: CallFailure) {
         let (leases, is_starting) = (self.leases(), self.is_starting);
         let until = match proof_of_call(failure) {
-            Proof::Unclear => {
+            Proof::Unclear(doubt) => {
                 match self.pace.refused(asked, now) {
                     Condition::Overloaded => self.knowledge.was_reachable(),
                     Condition::Down | Condition::Unclear => {
-                        self.knowledge.may_have_been_out_of_reach(asked, leases);
+                        self.knowledge.may_have_been_out_of_reach(asked, doubt, leases);
                     }
                 }
                 self.pace.call_after_refusal(asked, now, is_starting)
--- a/crates/subscription/tests/evidence.rs
+++ b/crates/subscription/tests/evidence.rs
@@ -138,22 +138,52 @@
             let asked = fail_call(&mut subscription, failure).max(complete + LEASE);
             assert_eq!(standing(&subscription, asked), ListStanding::Stale, "{failure:?}");
         }
-        let (mut subscription, complete) = lost_in(LARGE, CallFailure::WatchBroken);
-        for _ in 0..50 {
-            let asked = fail_call(&mut subscription, failure);
-            let good = asked.min(complete + DOUBT_MOST) + LEASE;
-            assert_eq!(standing(&subscription, good - Micros(1)), ListStanding::Leased, "{failure:?}");
-            let ended = good.max(asked);
-            assert_eq!(standing(&subscription, ended), ListStanding::Stale, "{failure:?}, {asked:?}");
-        }
-        // A call that is out does no more than one that has failed.
-        let out_for_long = next_ask(&mut subscription) + Micros(3 * SECOND);
-        assert_eq!(standing(&subscription, out_for_long), ListStanding::Stale, "{failure:?}");
         // In whose place the watch ended, a registry was up.
         let (mut subscription, complete) = lost_in(LARGE, CallFailure::WatchEnded);
         let asked = fail_call(&mut subscription, failure).max(complete + LEASE);
         assert_eq!(standing(&subscription, asked), ListStanding::Stale, "{failure:?}");
     }
+    let (mut subscription, complete) = lost_in(LARGE, CallFailure::WatchBroken);
+    for _ in 0..50 {
+        let asked = fail_call(&mut subscription, CallFailure::Busy);
+        let good = asked.min(complete + DOUBT_MOST) + LEASE;
+        assert_eq!(standing(&subscription, good - Micros(1)), ListStanding::Leased);
+        let ended = good.max(asked);
+        assert_eq!(standing(&subscription, ended), ListStanding::Stale, "{asked:?}");
+    }
+    // A call that is out does no more than one that has failed.
+    let out_for_long = next_ask(&mut subscription) + Micros(3 * SECOND);
+    assert_eq!(standing(&subscription, out_for_long), ListStanding::Stale);
+}
+
+/// Guards against calls that come up and bring no byte passing for an outage: somebody is there, and does not hear this process.
+#[test]
+fn a_call_without_a_byte_keeps_no_list_past_the_lease_in_a_fleet_of_any_size() {
+    for failure in [CallFailure::ClosedBeforeAnswer, CallFailure::NoAnswer] {
+        for instances in [SMALL, LARGE, 300, 990] {
+            let (mut subscription, complete) = lost_in(instances, CallFailure::WatchBroken);
+            for _ in 0..20 {
+                let asked = fail_call(&mut subscription, failure).max(complete + LEASE);
+                assert_eq!(standing(&subscription, asked), ListStanding::Stale, "{failure:?}, {instances}");
+                // Nor does a call that is out for long.
+                let out_for_long = asked + Micros(3 * SECOND);
+                assert_eq!(standing(&subscription, out_for_long), ListStanding::Stale, "{failure:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a list that was stale, and comes into use again by a call that was turned away: nothing new is known of it.
+#[test]
+fn a_list_that_is_stale_stays_so_whatever_calls_are_turned_away() {
+    let (mut subscription, complete) = lost_in(990, CallFailure::WatchBroken);
+    let mut asked = next_ask(&mut subscription);
+    while asked < complete + LEASE {
+        subscription.failed(asked + Micros(2 * SECOND), asked, CallFailure::ClosedBeforeAnswer);
+        asked = next_ask(&mut subscription);
+    }
+    subscription.failed(asked + Micros(2 * SECOND), asked, CallFailure::Busy);
+    assert_eq!(standing(&subscription, asked + Micros(2 * SECOND)), ListStanding::Stale);
 }
 
 /// Guards against a call that is out, and so has a connection, passing for one that meets nobody in a small fleet.
--- a/tests/list_age.rs
+++ b/tests/list_age.rs
@@ -185,6 +185,19 @@
     check(rows.iter().map(|&(title, answers)| Fault::of_calls(title, LARGE_FLEET, answers)).collect());
 }
 
+/// What is left of it: calls of this process alone that are turned away by 503 pass for an outage, as the platform's outages look
+/// just so to a process.
+#[test]
+fn calls_that_are_turned_away_keep_no_list_in_use_in_a_large_fleet() {
+    use CallAnswer::{BusyAtOnce, BusyLate, Whole};
+    let rows: [(&str, &[CallAnswer]); 3] = [
+        ("each call 503 at once", &[BusyAtOnce]),
+        ("each call 503 late", &[BusyLate]),
+        ("each fourth call whole, others 503", &[BusyLate, BusyLate, BusyLate, Whole]),
+    ];
+    check(rows.iter().map(|&(title, answers)| Fault::of_calls(title, LARGE_FLEET, answers)).collect());
+}
+
 /// Guards against what new configurations in series renew, put off or bring back.
 #[test]
 fn new_configurations_in_series_keep_no_list_in_use() {
