--- a/crates/config/src/platform.rs
+++ b/crates/config/src/platform.rs
@@ -432,14 +432,14 @@
     }
 }
 
-/// On sockets, whatever discovery has to tell counts as told 6 s after it could be asked for, whatever settings say. What
-/// is decided until then may wait for a connection, and for a processor: the grace covers that, or else the lease does.
+/// For how long a list is as good as a watch: until what it lacks counts as told, whatever settings say. What is decided until
+/// then may wait for a connection, and for a processor: the grace covers that, or else the lease does.
 fn list_lease(settings: &Facts<'_>) -> Micros {
-    const TOLD_AFTER: Micros = Micros(6_000_000);
     const HELD_UP: Micros = Micros(150_000);
     let grace = Micros(settings.contract.drain_grace_us.unwrap_or(0));
     let connecting = Micros(settings.limits.dial_timeout_us.unwrap_or(0));
-    TOLD_AFTER + (grace - HELD_UP - connecting).min(Micros(0))
+    let told_after = Micros(TOLD_AFTER.as_micros() as i64);
+    told_after + (grace - HELD_UP - connecting).min(Micros(0))
 }
 
 fn from_json<'a, T: Deserialize<'a>>(json: &'a [u8]) -> Result<T, String> {
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -372,6 +372,10 @@
     pub ok_at: Micros,
 }
 
+/// Whatever discovery has to tell counts as told so long after it had it and could be reached, on sockets, whether or not it was
+/// heard (the operators' standing test).
+pub const TOLD_AFTER: std::time::Duration = std::time::Duration::from_secs(6);
+
 /// What was seen of a call to discovery that failed, or of a watch that ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
--- a/crates/serve/src/held_list.rs
+++ b/crates/serve/src/held_list.rs
@@ -1,19 +1,14 @@
 //! The list of hosts as discovery has told it so far.
 
 use garnettally_decisions::facade::Listed;
-use garnettally_model::Micros;
-use garnettally_model::{HostList, Listing};
+use garnettally_model::{HostList, Listing, Micros, TOLD_AFTER};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// An older list is believed once this many in a row have come: the service counts its versions anew.
 const OLDER_BELIEVED: u32 = 3;
 
-/// What one service had at some time, every service tells this long after: until then another one's list may be older than what
-/// is known.
-const TOLD_EVERYWHERE_AFTER: Duration = Duration::from_secs(6);
-
 /// What became of a list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Taken {
@@ -74,7 +69,7 @@
 
     /// Hosts that were held back, and that the service still lists long enough after they left to know better, as a change.
     pub fn release(&mut self, now: Instant) -> Option<HostList> {
-        self.departures.retain(|_, d| now < d.told + TOLD_EVERYWHERE_AFTER);
+        self.departures.retain(|_, d| now < d.told + TOLD_AFTER);
         let departures = &self.departures;
         let (kept, released): (BTreeMap<_, _>, BTreeMap<_, _>) = std::mem::take(&mut self.held_back)
             .into_iter()
@@ -174,10 +169,10 @@
     }
 
     /// Whether another service told that this life of a host had ended, so short a while ago that the present one need not
-    /// know of it.
+    /// know of it: what one had at some time, every one tells after [`TOLD_AFTER`].
     fn left_elsewhere(&self, listing: &Listing, as_of: Instant) -> bool {
         self.departures.get(&listing.name).is_some_and(|d| {
-            d.service != self.service && d.born == listing.since && as_of < d.told + TOLD_EVERYWHERE_AFTER
+            d.service != self.service && d.born == listing.since && as_of < d.told + TOLD_AFTER
         })
     }
 
--- a/crates/serve/src/held_list_tests.rs
+++ b/crates/serve/src/held_list_tests.rs
@@ -1,6 +1,7 @@
 //! Which lists are taken.
 
 use super::*;
+use std::time::Duration;
 
 fn list(seq: u64, whole: bool, hosts: &[(&str, Listed)]) -> HostList {
     let listing = |&(name, state): &(&str, Listed)| Listing {
