Review: a case in which a reload lets an order run twice

Cause: the pin of a key stands under a hash with the number of its class, and the number is the place of the class in the sorted file. A reload that adds a class before it changes the number, so the pin is not found and a repeat goes by the new weights.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 //! run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod memory;
+mod repeats;
 mod scene;
 
 use scene::{Failure, Record, Verdict};
@@ -37,6 +38,7 @@
     });
     let played = match case.as_str() {
         "memory" => memory::play(Path::new(root), &record, with_trouble),
+        "repeats" => repeats::play(Path::new(root), &record, with_trouble),
         other => Err(Failure::new(format!("there is no case {other}"))),
     };
     finish(&record, played);
