Review: a case in which two members act on one duty under one epoch

Cause: a voter's folder that is made anew after a loss gets the number of the process's life, as the lost one had, so the voter passes for one that has its state and votes with an empty log.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -6,6 +6,7 @@
 //! run. With `TROUBLE=0` in the environment the disruption is left out.
 
 mod memory;
+mod owners;
 mod repeats;
 mod scene;
 
@@ -38,6 +39,7 @@
     });
     let played = match case.as_str() {
         "memory" => memory::play(Path::new(root), &record, with_trouble),
+        "owners" => owners::play(Path::new(root), &record, with_trouble),
         "repeats" => repeats::play(Path::new(root), &record, with_trouble),
         other => Err(Failure::new(format!("there is no case {other}"))),
     };
