Count the memory that messages take, by use, and show it on /stats

Change: buffers of connections and whole requests count their capacity in one account, by use (caller_input, read_ahead, requests, upstream_output, upstream_input, caller_output); /stats shows it. No bound is changed.

--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -361,7 +361,7 @@
             gauges.members += members;
             gauges.members_unavailable += unavailable;
         }
-        let mut text = self.stats.render(gauges);
+        let mut text = self.stats.render(gauges, &self.net.memory);
         if let Some(fleet) = &self.fleet {
             fleet.write_stats(&mut text);
         }
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -3,6 +3,7 @@
 use crate::admission::AdmissionError;
 use crate::exchange::FinalResponse;
 use crate::http::{self, HttpError, Incoming, OutgoingResponse};
+use crate::memory::{Buffer, Charge, MemoryUse};
 use crate::pools::Budgets;
 use crate::reasons::CloseReason;
 use crate::reservation::Reservation;
@@ -45,11 +46,13 @@
     socket: WatchedStream,
     state: ConnState,
     /// The bytes of requests that are received and not processed yet.
-    input: Vec<u8>,
+    input: Buffer,
     /// Bytes that follow `input` and arrived while a request awaits its response. They are read so that a
     /// close behind them is noticed.
     read_ahead: VecDeque<u8>,
-    output: Vec<u8>,
+    /// The memory that `read_ahead` takes.
+    read_ahead_charge: Charge,
+    output: Buffer,
     /// The number of bytes of `output` that the socket has accepted.
     written: usize,
     /// Whether the connection closes after the next response.
@@ -279,15 +282,23 @@
     /// Moves bytes that were read ahead to the input, until the input holds more than `max_bytes`.
     fn refill_input(&mut self, max_bytes: usize) {
         let room = (max_bytes + 1).saturating_sub(self.input.len()).min(self.read_ahead.len());
-        self.input.extend(self.read_ahead.drain(..room));
+        let (read_ahead, input) = (&mut self.read_ahead, &mut self.input);
+        input.edit(|input| input.extend(read_ahead.drain(..room)));
         if self.read_ahead.is_empty() {
-            self.read_ahead = VecDeque::new();
+            self.discard_read_ahead();
         }
     }
 
     /// Discards what was read and not processed.
     fn discard_input(&mut self) {
-        (self.input, self.read_ahead) = (Vec::new(), VecDeque::new());
+        self.input.clear(0);
+        self.discard_read_ahead();
+    }
+
+    /// Discards the bytes that were read ahead.
+    fn discard_read_ahead(&mut self) {
+        self.read_ahead = VecDeque::new();
+        self.read_ahead_charge.set(0);
     }
 }
 
@@ -359,9 +370,10 @@
                 caller_reservation,
                 socket,
                 state: ConnState::Reading,
-                input: Vec::new(),
+                input: self.net.memory.buffer(MemoryUse::CallerInput),
                 read_ahead: VecDeque::new(),
-                output: Vec::new(),
+                read_ahead_charge: self.net.memory.charge(MemoryUse::ReadAhead),
+                output: self.net.memory.buffer(MemoryUse::CallerOutput),
                 written: 0,
                 close_after_response: false,
                 sent_continue: false,
@@ -442,22 +454,22 @@
         let max_bytes = if conn.state == ConnState::Reading { limits.max_request_bytes } else { read_bytes };
         let (was_idle, listener) = (conn.is_idle(), conn.listener);
         if conn.state == ConnState::Lingering {
-            conn.read_ahead = VecDeque::new();
+            conn.discard_read_ahead();
         }
         conn.refill_input(max_bytes);
         // Bytes that were read ahead precede those in the socket.
         let mut reading = match conn.read_ahead.is_empty() {
-            true => self.net.read(&conn.socket.stream, &mut conn.input, max_bytes),
+            true => conn.input.edit(|input| self.net.read(&conn.socket.stream, input, max_bytes)),
             false => ReadStatus::Open,
         };
         let mut discarded = 0;
         while conn.state == ConnState::Lingering && !conn.input.is_empty() {
             discarded += conn.input.len();
-            conn.input.clear();
+            conn.input.clear(read_bytes);
             if discarded >= discard {
                 return self.callers.unread.push(id);
             }
-            reading = self.net.read(&conn.socket.stream, &mut conn.input, max_bytes);
+            reading = conn.input.edit(|input| self.net.read(&conn.socket.stream, input, max_bytes));
         }
         if was_idle && conn.had_request && !conn.input.is_empty() {
             conn.since = Instant::now();
@@ -515,6 +527,7 @@
         let mut bytes = Vec::new();
         let reading = self.net.read(&conn.socket.stream, &mut bytes, room);
         conn.read_ahead.extend(bytes);
+        conn.read_ahead_charge.set(conn.read_ahead.capacity());
         reading
     }
 
@@ -571,7 +584,7 @@
                 }
                 Ok(Incoming::Partial { expects_continue }) => {
                     if expects_continue && !std::mem::replace(&mut conn.sent_continue, true) {
-                        conn.output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        conn.output.edit(|output| output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n"));
                         if flush(conn).is_err() {
                             self.caller_left(id);
                         }
@@ -579,8 +592,7 @@
                     return;
                 }
                 Ok(Incoming::Complete(request, used)) => {
-                    conn.input.drain(..used);
-                    conn.input.shrink_to(self.net.limits.retained_buffer_bytes);
+                    conn.input.consume(used, self.net.limits.retained_buffer_bytes);
                     (conn.sent_continue, conn.had_request, conn.since) = (false, true, Instant::now());
                     conn.close_after_response = !request.keep_alive;
                     if request.path() == "/ready" {
@@ -663,14 +675,15 @@
             || self.callers.conns.get(&id).is_some_and(|conn| self.callers.is_listener_closed(conn));
         let Some(conn) = self.callers.conns.get_mut(&id) else { return };
         conn.close_after_response |= closing;
-        http::write_response(&mut conn.output, response, conn.close_after_response);
+        let close = conn.close_after_response;
+        conn.output.edit(|output| http::write_response(output, response, close));
         conn.state = if conn.close_after_response { ConnState::Lingering } else { ConnState::Reading };
         conn.since = Instant::now();
         if flush(conn).is_err() {
             return self.caller_left(id);
         }
         if conn.output.is_empty() {
-            conn.output.shrink_to(self.net.limits.retained_buffer_bytes);
+            conn.output.clear(self.net.limits.retained_buffer_bytes);
         }
     }
 
@@ -831,7 +844,7 @@
 fn flush(conn: &mut Conn) -> io::Result<()> {
     crate::write_pending(&conn.socket.stream, &conn.output, &mut conn.written)?;
     if conn.written == conn.output.len() && conn.written > 0 {
-        conn.output.clear();
+        conn.output.edit(Vec::clear);
         conn.written = 0;
         if conn.state == ConnState::Lingering {
             conn.socket.stream.shutdown(Shutdown::Write)?;
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -4,6 +4,7 @@
 use crate::admission::{ActiveRoute, AdmissionError, Admitted, Labels, RETRY_AFTER};
 use crate::callers::ListenerId;
 use crate::http::{HttpError, Request, Response};
+use crate::memory::{Counted, MemoryUse};
 use crate::pools::{Pool, PoolId};
 use crate::reasons::RefusalReason;
 use crate::reservation::Reservation;
@@ -36,7 +37,7 @@
     pool: PoolId,
     /// The request as it is passed to the pool's decision module.
     pick_request: PickRequest,
-    request: Rc<Request>,
+    request: Rc<Counted<Request>>,
     /// The number of attempts started in this pool.
     attempts: u32,
     /// The number of attempts in this pool that have not ended.
@@ -182,7 +183,8 @@
         now: Instant,
     ) -> RequestId {
         self.exchanges.pending_ids.insert(admitted.id.clone());
-        let request = Rc::new(request);
+        let bytes = request.memory_bytes();
+        let request = Rc::new(Counted::new(request, bytes, self.net.memory.charge(MemoryUse::Requests)));
         if let Some(shadow) = admitted.mirror {
             self.start_mirror_copy(shadow, &admitted, &request, now);
         }
@@ -195,7 +197,7 @@
         admitted: Admitted,
         caller: Option<ConnId>,
         listener: Option<ListenerId>,
-        request: Rc<Request>,
+        request: Rc<Counted<Request>>,
         reservation: Reservation,
         now: Instant,
     ) -> RequestId {
@@ -257,7 +259,7 @@
         &mut self,
         shadow: PoolId,
         original: &Admitted,
-        request: &Rc<Request>,
+        request: &Rc<Counted<Request>>,
         now: Instant,
     ) {
         let Some(pool) = self.pools.get(shadow) else { return };
--- a/crates/serve/src/http.rs
+++ b/crates/serve/src/http.rs
@@ -61,6 +61,18 @@
         self.target.split_once('?').map_or("", |(_, query)| query)
     }
 
+    /// The memory that the request takes.
+    pub fn memory_bytes(&self) -> usize {
+        let optional = |text: &Option<String>| text.as_ref().map_or(0, String::capacity);
+        let texts = self.method.capacity() + self.host.capacity() + self.target.capacity();
+        let values = [&self.id, &self.owner, &self.deadline, &self.cost].map(optional);
+        size_of::<Request>()
+            + texts
+            + values.iter().sum::<usize>()
+            + self.headers.capacity()
+            + self.body.capacity()
+    }
+
     /// Adds a header line to those that are forwarded.
     pub fn add_header(&mut self, name: &str, value: &str) {
         for part in [name, ": ", value, "\r\n"] {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -22,6 +22,7 @@
 mod export;
 mod fleet;
 mod http;
+mod memory;
 pub mod plan;
 mod pools;
 mod reasons;
@@ -43,6 +44,7 @@
 use garnettally_decisions::facade::Report;
 use garnettally_routing::budget::HolderId;
 use garnettally_routing::pins::Pins;
+use memory::MemoryMeter;
 use plan::{Plan, RequestMatching};
 use pools::PoolId;
 use reservation::{Reservation, SharedBudget};
@@ -93,6 +95,8 @@
     pub rng: fastrand::Rng,
     /// Tracks when the event loop last polled the sockets.
     pub rounds: Rounds,
+    /// Counts the memory that messages take.
+    pub memory: MemoryMeter,
     /// The buffer for a single read.
     scratch: Vec<u8>,
     /// The number given to the newest connection.
@@ -200,7 +204,17 @@
     let rounds = Rounds::new(now);
     let waker = events.handle().insert_source(rounds.waker(), |(), (), _| ());
     waker.map_err(|e| format!("event loop: {e}"))?;
-    let net = Net { handle: events.handle(), log, rng, rounds, scratch, limits, clock, last_connection: 0 };
+    let net = Net {
+        handle: events.handle(),
+        log,
+        limits,
+        clock,
+        rng,
+        rounds,
+        memory: MemoryMeter::default(),
+        scratch,
+        last_connection: 0,
+    };
     let budgets = pools::Budgets {
         requests: SharedBudget::new(plan.max_requests),
         connections: SharedBudget::new(net.limits.max_connections),
--- a/crates/serve/src/stats.rs
+++ b/crates/serve/src/stats.rs
@@ -2,6 +2,7 @@
 //! network side, whose counters start at 0 and are rendered as statsd lines. The registry makes no decisions
 //! and does no I/O.
 
+use crate::memory::{MemoryMeter, MemoryUse};
 use crate::reasons::RefusalReason;
 use std::collections::BTreeMap;
 use std::fmt::Write;
@@ -134,7 +135,7 @@
     }
 
     /// Renders all metrics as statsd lines.
-    pub fn render(&self, gauges: Gauges) -> String {
+    pub fn render(&self, gauges: Gauges, memory: &MemoryMeter) -> String {
         let mut out = String::with_capacity(64 * (self.classes.len() * 3 + 6));
         for (class, counts) in &self.classes {
             let by_outcome =
@@ -156,6 +157,9 @@
         let _ = writeln!(out, "edge_gw.discovery_calls:{}|c", self.discovery_calls);
         let _ = writeln!(out, "edge_gw.discovery_failures:{}|c", self.discovery_failures);
         let _ = writeln!(out, "edge_gw.lists_stale:{}|g", gauges.lists_stale);
+        for purpose in MemoryUse::ALL {
+            let _ = writeln!(out, "edge_gw.memory_bytes.{}:{}|g", purpose.name(), memory.bytes(purpose));
+        }
         out
     }
 }
--- a/crates/serve/src/stats_tests.rs
+++ b/crates/serve/src/stats_tests.rs
@@ -25,7 +25,11 @@
     stats.record_refusal(RefusalReason::StaleList);
     stats.record_discovery_call();
     stats.record_discovery_failure();
-    let text = stats.render(Gauges { pending: 4, members: 9, members_unavailable: 2, lists_stale: 1 });
+    let memory = MemoryMeter::default();
+    let mut charge = memory.charge(MemoryUse::Requests);
+    charge.set(700);
+    let text =
+        stats.render(Gauges { pending: 4, members: 9, members_unavailable: 2, lists_stale: 1 }, &memory);
     assert_eq!(value(&text, "edge_gw.downstream_requests.look.completed"), Some(3));
     assert_eq!(value(&text, "edge_gw.downstream_requests.look.failed"), Some(0));
     assert_eq!(value(&text, "edge_gw.downstream_requests.book.rejected"), Some(1));
@@ -39,19 +43,21 @@
     assert_eq!(value(&text, "edge_gw.discovery_calls"), Some(1));
     assert_eq!(value(&text, "edge_gw.discovery_failures"), Some(1));
     assert_eq!(value(&text, "edge_gw.lists_stale"), Some(1));
+    assert_eq!(value(&text, "edge_gw.memory_bytes.requests"), Some(700));
+    assert_eq!(value(&text, "edge_gw.memory_bytes.caller_input"), Some(0));
 }
 
 /// Guards against a registry that callers grow without bound, and against names that split a line.
 #[test]
 fn class_names_are_bounded_in_number_and_never_split_a_line() {
     /// The number of lines that belong to no class.
-    const OTHER_LINES: usize = 12;
+    const OTHER_LINES: usize = 18;
     let mut stats = Stats::default();
     stats.record_outcome("a.b:c|d\ne", Outcome::Failed);
     for n in 0..10_000 {
         stats.record_outcome(&format!("c{n}"), Outcome::Completed);
     }
-    let text = stats.render(Gauges::default());
+    let text = stats.render(Gauges::default(), &MemoryMeter::default());
     assert_eq!(value(&text, "edge_gw.downstream_requests.a_b_c_d_e.failed"), Some(1));
     assert!(text.lines().count() <= MAX_CLASSES * 3 + 3 + OTHER_LINES, "{}", text.lines().count());
     assert!(value(&text, "edge_gw.downstream_requests.other.completed").unwrap() > 9_000);
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -1,6 +1,7 @@
 //! The upstream side: attempts, and the pooled connections that each carry one attempt at a time.
 
 use crate::http::{self, Request, Response};
+use crate::memory::{Buffer, MemoryUse};
 use crate::pools::PoolId;
 use crate::reasons::CloseReason;
 use crate::reservation::Reservation;
@@ -77,10 +78,10 @@
     /// Whether the connection has been established.
     is_open: bool,
     /// The request of the present attempt; its first `written` bytes have been written.
-    output: Vec<u8>,
+    output: Buffer,
     written: usize,
     /// The bytes received of a response that is not complete.
-    input: Vec<u8>,
+    input: Buffer,
     /// The attempt that the connection carries; `None` while the connection is idle.
     in_flight: Option<InFlight>,
     /// When the last response ended, or when the connection was requested.
@@ -365,9 +366,9 @@
                     address,
                     socket,
                     is_open: false,
-                    output: Vec::new(),
+                    output: self.net.memory.buffer(MemoryUse::UpstreamOutput),
                     written: 0,
-                    input: Vec::new(),
+                    input: self.net.memory.buffer(MemoryUse::UpstreamInput),
                     in_flight: None,
                     idle_since: sent,
                 };
@@ -383,10 +384,13 @@
         self.upstreams.deadlines.push(Reverse((sent + timeout, attempt, false)));
         self.upstreams.connection_by_attempt.insert(attempt, id);
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
-        conn.output.clear();
         conn.written = 0;
-        conn.input.clear();
-        http::write_request(&mut conn.output, request, &conn.address.to_string(), timeout);
+        conn.input.edit(Vec::clear);
+        let host = conn.address.to_string();
+        conn.output.edit(|output| {
+            output.clear();
+            http::write_request(output, request, &host, timeout);
+        });
         conn.in_flight =
             Some(InFlight { attempt, sent_at: sent, is_head: request.method == "HEAD", local_delay: zero });
         if conn.is_open {
@@ -431,7 +435,7 @@
         }
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
         let max_bytes = self.net.limits.max_response_bytes;
-        let reading = self.net.read(&conn.socket.stream, &mut conn.input, max_bytes);
+        let reading = conn.input.edit(|input| self.net.read(&conn.socket.stream, input, max_bytes));
         if conn.in_flight.is_none() {
             // On an idle connection, any event means that it ends.
             if reading != ReadStatus::Open || !conn.input.is_empty() {
@@ -496,8 +500,7 @@
         if stays_open && is_written && answer.keep_alive {
             let upstream = conn.upstream;
             (conn.in_flight, conn.idle_since) = (None, Instant::now());
-            conn.input.clear();
-            conn.input.shrink_to(self.net.limits.read_chunk_bytes);
+            conn.input.clear(self.net.limits.read_chunk_bytes);
             self.upstreams.connection_by_attempt.remove(&ended.attempt);
             self.upstreams.idle.entry(upstream).or_default().push(id);
         } else {
