Bound the memory of messages by limits.memory_mb and refuse what has no room

Cause: whole requests and their copies for each attempt were in no account; input behind a request was read up to 112 KiB a connection; parts under 16 KiB, answers that came whole and answers that nobody reads had no bound.

Change: buffers and requests are counted by capacity, and message_memory.rs (decision module) admits by what is left: long requests and answers yield first. Requests without room get 503 with Retry-After. Attempts share a long body. Input is read by little more than a request at a time, and not behind more than 16 KiB of unread answers. Buffers grow by a quarter and are released whole; idle connections keep 1 KiB instead of 4 and 16.

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -54,6 +54,17 @@
     pub caller_discard_bytes: usize,
     /// The most bytes of unfinished requests that all caller connections together may buffer.
     pub max_callers_buffered_bytes: usize,
+    /// The most bytes that requests may take: those being received, and those that are not finished.
+    pub max_requests_memory_bytes: usize,
+    /// The most bytes that responses may take: those being received, and those being written to callers.
+    pub max_responses_memory_bytes: usize,
+    /// The bytes that are read of a request before its length is known. What a connection holds behind a
+    /// whole request is at most this.
+    pub request_head_read_bytes: usize,
+    /// A caller's next request is not processed while more than this waits to be written to the caller.
+    pub max_caller_backlog_bytes: usize,
+    /// The longest body that is copied behind a request's head, so that one write suffices for both.
+    pub max_copied_body_bytes: usize,
     /// The most bytes that one connection reads ahead while a request waits for its response. A client that
     /// sends much and disconnects is only noticed once the bytes before its end of stream have been read.
     pub max_caller_read_ahead_bytes: usize,
@@ -199,7 +210,7 @@
             max_response_bytes: (1 << 20) + (64 << 10),
             max_long_responses_bytes: (inputs.memory_mb << 20) / 8,
             read_chunk_bytes: 16 << 10,
-            retained_buffer_bytes: 4 << 10,
+            retained_buffer_bytes: 1 << 10,
             max_chunk_line_bytes: 4 << 10,
             max_discovery_line_bytes: 4 << 20,
             listen_backlog: 1024,
@@ -212,6 +223,11 @@
             caller_linger_timeout: Duration::from_secs(2),
             caller_discard_bytes: 256 << 10,
             max_callers_buffered_bytes: (inputs.memory_mb << 20) / 8,
+            max_requests_memory_bytes: (inputs.memory_mb << 20) / MEMORY_PARTS,
+            max_responses_memory_bytes: (inputs.memory_mb << 20) / MEMORY_PARTS,
+            request_head_read_bytes: 4 << 10,
+            max_caller_backlog_bytes: 16 << 10,
+            max_copied_body_bytes: 4 << 10,
             max_caller_read_ahead_bytes: 1 << 20,
             upstream_connect_timeout: inputs.upstream_connect_timeout,
             upstream_idle_timeout: inputs.upstream_idle_timeout,
@@ -238,6 +254,10 @@
     }
 }
 
+/// Requests, and responses, may each take this part of the memory of the process. The rest is for the program
+/// itself, its lists, single messages that are being copied, and what the allocator can't use.
+const MEMORY_PARTS: usize = 5;
+
 /// How long opening a connection to discovery may take.
 const DISCOVERY_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/serve/src/callers.rs
+++ b/crates/serve/src/callers.rs
@@ -1,14 +1,14 @@
 //! The downstream side: the listeners and the connections of callers.
 
-use crate::admission::AdmissionError;
+use crate::admission::{AdmissionError, RETRY_AFTER};
 use crate::exchange::FinalResponse;
 use crate::http::{self, HttpError, Incoming, OutgoingResponse};
 use crate::memory::{Buffer, Charge, MemoryUse};
 use crate::pools::Budgets;
-use crate::reasons::CloseReason;
+use crate::reasons::{CloseReason, RefusalReason};
 use crate::reservation::Reservation;
 use crate::socket_errors::{accept_failure, AcceptFailure};
-use crate::{ConnId, Net, Proxy, ReadStatus, WatchedStream};
+use crate::{ConnId, Limits, Net, Proxy, ReadStatus, WatchedStream};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction, RegistrationToken};
 use garnettally_config::file::Listener as ListenerConfig;
@@ -57,6 +57,10 @@
     written: usize,
     /// Whether the connection closes after the next response.
     close_after_response: bool,
+    /// How many bytes are missing of the request that is being received; `None`: its length is not known.
+    missing_bytes: Option<usize>,
+    /// Whether bytes may be left in the socket that the event loop has reported already.
+    has_unread: bool,
     /// Whether a `100 Continue` was sent for the request that is being received.
     sent_continue: bool,
     /// Whether the connection has carried a complete request.
@@ -67,6 +71,15 @@
     since: Instant,
 }
 
+/// The result of receiving a part of the input.
+struct Received {
+    reading: ReadStatus,
+    /// How many bytes were appended to the input.
+    bytes: usize,
+    /// Whether the socket has no more bytes for now.
+    is_socket_empty: bool,
+}
+
 /// The number of a listener; numbers are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ListenerId(u64);
@@ -279,14 +292,49 @@
         !self.input.is_empty() || !self.read_ahead.is_empty()
     }
 
-    /// Moves bytes that were read ahead to the input, until the input holds more than `max_bytes`.
-    fn refill_input(&mut self, max_bytes: usize) {
-        let room = (max_bytes + 1).saturating_sub(self.input.len()).min(self.read_ahead.len());
-        let (read_ahead, input) = (&mut self.read_ahead, &mut self.input);
-        input.edit(|input| input.extend(read_ahead.drain(..room)));
+    /// The number of bytes that wait to be written.
+    fn backlog_bytes(&self) -> usize {
+        self.output.len() - self.written
+    }
+
+    /// Whether a part of a request has been received, and no more of it was read.
+    fn is_request_incomplete(&self, limits: &Limits) -> bool {
+        // Behind a backlog, the input may hold whole requests.
+        let has_backlog = self.backlog_bytes() > limits.max_caller_backlog_bytes;
+        self.state == ConnState::Reading
+            && !self.input.is_empty()
+            && self.read_ahead.is_empty()
+            && !has_backlog
+    }
+
+    /// Appends up to `wanted` bytes to the input, from those that were read ahead, or else from the socket.
+    fn receive(&mut self, net: &mut Net, wanted: usize) -> Received {
+        let (was_idle, length_before) = (self.is_idle(), self.input.len());
+        let is_from_socket = self.read_ahead.is_empty();
+        let (read_ahead, stream) = (&mut self.read_ahead, &self.socket.stream);
+        let reading = self.input.edit(|input| match read_ahead.len() {
+            0 => net.read(stream, input, length_before + wanted - 1),
+            ahead => {
+                input.reserve_exact(wanted.min(ahead));
+                input.extend(read_ahead.drain(..wanted.min(ahead)));
+                ReadStatus::Open
+            }
+        });
         if self.read_ahead.is_empty() {
             self.discard_read_ahead();
         }
+        let bytes = self.input.len() - length_before;
+        if was_idle && self.had_request && bytes > 0 {
+            self.since = Instant::now();
+        }
+        Received { reading, bytes, is_socket_empty: is_from_socket && bytes < wanted }
+    }
+
+    /// Appends to the bytes that were read ahead.
+    fn extend_read_ahead(&mut self, bytes: &[u8]) {
+        self.read_ahead.reserve_exact(bytes.len().max(self.read_ahead.len() / 4));
+        self.read_ahead.extend(bytes);
+        self.read_ahead_charge.set(self.read_ahead.capacity());
     }
 
     /// Discards what was read and not processed.
@@ -376,6 +424,8 @@
                 output: self.net.memory.buffer(MemoryUse::CallerOutput),
                 written: 0,
                 close_after_response: false,
+                missing_bytes: None,
+                has_unread: false,
                 sent_continue: false,
                 had_request: false,
                 since: Instant::now(),
@@ -444,91 +494,99 @@
     /// processes the requests in it.
     fn caller_ready(&mut self, id: ConnId) {
         let Some(conn) = self.callers.conns.get_mut(&id) else { return };
-        if flush(conn).is_err() {
+        if flush(conn, &self.net.limits).is_err() {
             return self.caller_left(id);
         }
-        // Input is limited to about one request; what follows stays in the socket.
-        let limits = &self.net.limits;
-        let (read_bytes, caller_bytes, discard) =
-            (limits.read_chunk_bytes, limits.max_callers_buffered_bytes, limits.caller_discard_bytes);
-        let max_bytes = if conn.state == ConnState::Reading { limits.max_request_bytes } else { read_bytes };
-        let (was_idle, listener) = (conn.is_idle(), conn.listener);
-        if conn.state == ConnState::Lingering {
-            conn.discard_read_ahead();
+        match conn.state {
+            ConnState::Reading => self.read_requests(id),
+            ConnState::Waiting(_) => self.read_behind_request(id),
+            ConnState::Lingering => self.discard_unread(id),
         }
-        conn.refill_input(max_bytes);
-        // Bytes that were read ahead precede those in the socket.
-        let mut reading = match conn.read_ahead.is_empty() {
-            true => conn.input.edit(|input| self.net.read(&conn.socket.stream, input, max_bytes)),
-            false => ReadStatus::Open,
-        };
-        let mut discarded = 0;
-        while conn.state == ConnState::Lingering && !conn.input.is_empty() {
-            discarded += conn.input.len();
-            conn.input.clear(read_bytes);
-            if discarded >= discard {
-                return self.callers.unread.push(id);
+    }
+
+    /// Reads and processes requests until one awaits its response, the socket has no more bytes, or the
+    /// connection has had its part of this round. Little more than one request is read at a time; what
+    /// follows stays in the socket.
+    fn read_requests(&mut self, id: ConnId) {
+        let mut left = self.net.limits.max_request_bytes;
+        self.process_requests(id);
+        while let Some(conn) = self.callers.conns.get_mut(&id) {
+            match conn.state {
+                ConnState::Waiting(_) => return self.read_behind_request(id),
+                ConnState::Lingering => return self.discard_unread(id),
+                // The socket is full; once it is writable, the connection is handled again.
+                ConnState::Reading if conn.backlog_bytes() > self.net.limits.max_caller_backlog_bytes => {
+                    return
+                }
+                ConnState::Reading if left == 0 => return self.callers.unread.push(id),
+                ConnState::Reading => {}
             }
-            reading = conn.input.edit(|input| self.net.read(&conn.socket.stream, input, max_bytes));
-        }
-        if was_idle && conn.had_request && !conn.input.is_empty() {
-            conn.since = Instant::now();
-        }
-        let (large, more) = (conn.input.len() > read_bytes, conn.input.len() > max_bytes);
-        match (reading, conn.state) {
-            (ReadStatus::Open, ConnState::Reading) => {
+            let wanted = conn.missing_bytes.unwrap_or(self.net.limits.request_head_read_bytes).max(1);
+            let received = conn.receive(&mut self.net, wanted);
+            if received.reading != ReadStatus::Open {
+                // The input may contain a complete request, but its client no longer waits for a response.
+                return self.caller_left(id);
+            }
+            left = left.saturating_sub(received.bytes);
+            if received.bytes > 0 {
                 self.process_requests(id);
-                if large && self.callers.exceeds_memory_share(listener, caller_bytes) {
-                    self.reject_incomplete(id);
+                self.limit_incomplete(id);
+            }
+            if received.is_socket_empty {
+                if let Some(conn) = self.callers.conns.get_mut(&id) {
+                    conn.has_unread = false;
                 }
+                return;
             }
-            (ReadStatus::Open, _) => {}
-            // The input may contain a complete request, but its client no longer waits for a response.
-            (ReadStatus::Ended | ReadStatus::Broken, _) => return self.caller_left(id),
         }
-        if !more {
-            return;
-        }
-        // The event loop is edge-triggered and does not report again what is still in the socket: neither
-        // more bytes, once the requests before them have their responses, nor a close behind them, while a
-        // request awaits its response.
-        match self.callers.conns.get(&id) {
-            Some(c) if matches!(c.state, ConnState::Waiting(_)) => self.detect_close(id),
-            Some(c) if c.state == ConnState::Reading && c.input.len() <= max_bytes => {
-                self.callers.unread.push(id)
+    }
+
+    /// Reads what a client sends behind a request that awaits its response, as far as the limits allow, so
+    /// that a close behind it is noticed: the kernel can't know of a close behind more bytes than its socket
+    /// buffer holds. The event loop is edge-triggered and does not report again what is left in the socket.
+    fn read_behind_request(&mut self, id: ConnId) {
+        let wanted = self.net.limits.read_chunk_bytes;
+        while self.may_read_ahead(id) {
+            let Some(conn) = self.callers.conns.get_mut(&id) else { return };
+            let mut bytes = Vec::new();
+            let reading = self.net.read(&conn.socket.stream, &mut bytes, wanted - 1);
+            if reading != ReadStatus::Open {
+                return self.caller_left(id);
+            }
+            conn.extend_read_ahead(&bytes);
+            conn.has_unread = bytes.len() == wanted;
+            if !conn.has_unread {
+                return;
             }
-            _ => {}
         }
+        if let Some(conn) = self.callers.conns.get_mut(&id) {
+            conn.has_unread = true;
+        }
+        self.close_if_hung_up(id);
     }
 
-    /// Detects whether a client has closed its connection behind unprocessed bytes while its request awaits
-    /// the response. The kernel can't know of a close behind more bytes than its socket buffer holds, so
-    /// bytes are read ahead.
-    fn detect_close(&mut self, id: ConnId) {
-        let Some(conn) = self.callers.conns.get(&id) else { return };
-        match peer_state(&conn.socket.stream) {
-            PeerState::Open => {}
-            PeerState::Closed => self.caller_left(id),
-            PeerState::Unread if self.read_ahead(id) == ReadStatus::Open => {}
-            PeerState::Unread => self.caller_left(id),
-        }
+    /// Whether the limits allow more bytes to be read ahead on a connection.
+    fn may_read_ahead(&self, id: ConnId) -> bool {
+        let limits = &self.net.limits;
+        self.callers.conns.get(&id).is_some_and(|conn| {
+            conn.read_ahead.len() < limits.max_caller_read_ahead_bytes
+                && self
+                    .net
+                    .message_memory()
+                    .admits_read_ahead(self.net.memory.held(), limits.read_chunk_bytes)
+                && !self.callers.exceeds_memory_share(conn.listener, limits.max_callers_buffered_bytes)
+        })
     }
 
-    /// Reads bytes that follow the input into `read_ahead`, as far as the limits allow.
-    fn read_ahead(&mut self, id: ConnId) -> ReadStatus {
-        let (max_ahead_bytes, max_total_bytes) =
-            (self.net.limits.max_caller_read_ahead_bytes, self.net.limits.max_callers_buffered_bytes);
-        let Some(conn) = self.callers.conns.get(&id) else { return ReadStatus::Open };
-        let room = max_ahead_bytes.saturating_sub(conn.read_ahead.len());
-        if room == 0 || self.callers.exceeds_memory_share(conn.listener, max_total_bytes) {
-            return ReadStatus::Open;
+    /// Discards what a client sends after its last response.
+    fn discard_unread(&mut self, id: ConnId) {
+        let Some(conn) = self.callers.conns.get_mut(&id) else { return };
+        conn.discard_input();
+        match self.net.discard(&conn.socket.stream, self.net.limits.caller_discard_bytes) {
+            (ReadStatus::Open, true) => self.callers.unread.push(id),
+            (ReadStatus::Open, false) => {}
+            (ReadStatus::Ended | ReadStatus::Broken, _) => self.caller_left(id),
         }
-        let Some(conn) = self.callers.conns.get_mut(&id) else { return ReadStatus::Open };
-        let mut bytes = Vec::new();
-        let reading = self.net.read(&conn.socket.stream, &mut bytes, room);
-        conn.read_ahead.extend(bytes);
-        conn.read_ahead_charge.set(conn.read_ahead.capacity());
-        reading
     }
 
     /// Continues with the connections whose input could not be read or discarded in one round.
@@ -538,14 +596,21 @@
         }
     }
 
-    /// Rejects the incomplete request of a connection that buffers much, because the listener's connections
-    /// buffer too much together.
-    fn reject_incomplete(&mut self, id: ConnId) {
-        // Bytes that were read ahead may complete the request.
-        let incomplete =
-            |c: &Conn| c.state == ConnState::Reading && !c.input.is_empty() && c.read_ahead.is_empty();
-        if self.callers.conns.get(&id).is_some_and(incomplete) {
+    /// Ends the incomplete request of a connection if the limits have no room for it: with 413 if the
+    /// listener's connections buffer more than their share, with 503 if the process holds too much.
+    fn limit_incomplete(&mut self, id: ConnId) {
+        let limits = &self.net.limits;
+        let Some(conn) = self.callers.conns.get(&id).filter(|c| c.is_request_incomplete(limits)) else {
+            return;
+        };
+        let exceeds_share = conn.input.len() > limits.read_chunk_bytes
+            && self.callers.exceeds_memory_share(conn.listener, limits.max_callers_buffered_bytes);
+        if exceeds_share {
             self.reject_caller(id, HttpError(413));
+        } else if !self.net.message_memory().admits_input(self.net.memory.held(), conn.input.len()) {
+            self.stats.record_refusal(RefusalReason::NoMemory);
+            self.end_input(id);
+            self.write_refusal(id, Some(RETRY_AFTER));
         }
     }
 
@@ -575,17 +640,19 @@
     /// Processes the requests in the input, as far as they are complete.
     fn process_requests(&mut self, id: ConnId) {
         while let Some(conn) = self.callers.conns.get_mut(&id) {
-            if conn.state != ConnState::Reading || conn.input.is_empty() {
+            let has_backlog = conn.backlog_bytes() > self.net.limits.max_caller_backlog_bytes;
+            if conn.state != ConnState::Reading || conn.input.is_empty() || has_backlog {
                 return;
             }
             match http::parse_request(&conn.input, &self.net.limits) {
                 Ok(Incoming::Partial { .. }) if conn.input.len() > self.net.limits.max_request_bytes => {
                     return self.reject_caller(id, HttpError(413));
                 }
-                Ok(Incoming::Partial { expects_continue }) => {
+                Ok(Incoming::Partial { expects_continue, missing_bytes }) => {
+                    conn.missing_bytes = missing_bytes;
                     if expects_continue && !std::mem::replace(&mut conn.sent_continue, true) {
                         conn.output.edit(|output| output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n"));
-                        if flush(conn).is_err() {
+                        if flush(conn, &self.net.limits).is_err() {
                             self.caller_left(id);
                         }
                     }
@@ -594,6 +661,7 @@
                 Ok(Incoming::Complete(request, used)) => {
                     conn.input.consume(used, self.net.limits.retained_buffer_bytes);
                     (conn.sent_continue, conn.had_request, conn.since) = (false, true, Instant::now());
+                    conn.missing_bytes = None;
                     conn.close_after_response = !request.keep_alive;
                     if request.path() == "/ready" {
                         let status = if self.is_ready() { 200 } else { 503 };
@@ -619,11 +687,16 @@
     /// request may be part of it.
     fn reject_caller(&mut self, id: ConnId, HttpError(status): HttpError) {
         debug!(self.net.log, "a request is rejected, and its connection closes"; "status" => status);
+        self.end_input(id);
+        self.write_response(id, &OutgoingResponse { status, ..OutgoingResponse::default() });
+    }
+
+    /// Discards the input of a connection, which closes after its next response.
+    fn end_input(&mut self, id: ConnId) {
         if let Some(conn) = self.callers.conns.get_mut(&id) {
             conn.close_after_response = true;
             conn.discard_input();
         }
-        self.write_response(id, &OutgoingResponse { status, ..OutgoingResponse::default() });
     }
 
     /// Responds with a 503 and, if `retry_after` is given, with the time after which the client may try
@@ -663,7 +736,7 @@
             FinalResponse::Refused { retry_after } => self.write_refusal(id, retry_after),
         }
         // The client may have sent its next request in the meantime.
-        if self.callers.conns.get(&id).is_some_and(Conn::has_input) {
+        if self.callers.conns.get(&id).is_some_and(|c| c.has_input() || c.has_unread) {
             self.caller_ready(id);
         }
     }
@@ -679,11 +752,14 @@
         conn.output.edit(|output| http::write_response(output, response, close));
         conn.state = if conn.close_after_response { ConnState::Lingering } else { ConnState::Reading };
         conn.since = Instant::now();
-        if flush(conn).is_err() {
+        if flush(conn, &self.net.limits).is_err() {
             return self.caller_left(id);
         }
-        if conn.output.is_empty() {
-            conn.output.clear(self.net.limits.retained_buffer_bytes);
+        let has_room = |bytes| self.net.message_memory().admits_response(self.net.memory.held(), bytes);
+        if !conn.output.is_empty() && !has_room(conn.output.capacity()) {
+            warn!(self.net.log, "a response that its client does not read is cut off"; "connection" => id,
+                "unread_bytes" => conn.backlog_bytes());
+            self.callers.drop_conn(&self.net, id, CloseReason::OutOfMemory);
         }
     }
 
@@ -840,15 +916,19 @@
     }
 }
 
-/// Writes pending output. After the last response the sending side is shut down.
-fn flush(conn: &mut Conn) -> io::Result<()> {
+/// Writes pending output, and releases the memory of what is written. After the last response the sending
+/// side is shut down.
+fn flush(conn: &mut Conn, limits: &Limits) -> io::Result<()> {
     crate::write_pending(&conn.socket.stream, &conn.output, &mut conn.written)?;
     if conn.written == conn.output.len() && conn.written > 0 {
-        conn.output.edit(Vec::clear);
+        conn.output.clear(limits.retained_buffer_bytes);
         conn.written = 0;
         if conn.state == ConnState::Lingering {
             conn.socket.stream.shutdown(Shutdown::Write)?;
         }
+    } else if conn.written > conn.output.len() / 2 {
+        conn.output.consume(conn.written, 0);
+        conn.written = 0;
     }
     Ok(())
 }
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -37,7 +37,8 @@
     pool: PoolId,
     /// The request as it is passed to the pool's decision module.
     pick_request: PickRequest,
-    request: Rc<Counted<Request>>,
+    /// `None`: the request is concluded, and is sent no more.
+    request: Option<Rc<Counted<Request>>>,
     /// The number of attempts started in this pool.
     attempts: u32,
     /// The number of attempts in this pool that have not ended.
@@ -113,6 +114,7 @@
     fn conclude(&mut self, number: RequestId) -> Option<ConnId> {
         let exchange = self.open.get_mut(&number).filter(|x| !x.concluded)?;
         exchange.concluded = true;
+        exchange.request = None;
         if exchange.caller.is_some() {
             self.pending_ids.remove(&exchange.id);
         }
@@ -164,6 +166,13 @@
         if self.exchanges.pending_ids.contains(&admitted.id) {
             return Err(AdmissionError::Rejected(HttpError(400)));
         }
+        if !self.net.message_memory().admits_request(self.net.memory.held(), request.memory_bytes()) {
+            self.stats.record_refusal(RefusalReason::NoMemory);
+            if admitted.route.is_none() {
+                self.stats.record_outcome(&admitted.class_name, Outcome::Rejected);
+            }
+            return Err(AdmissionError::Refused { retry_after: Some(RETRY_AFTER), route: admitted.route });
+        }
         let holders =
             self.holders(admitted.pool, admitted.route.as_deref(), self.callers.request_holder(listener));
         match self.budgets.requests.reserve(&holders) {
@@ -182,8 +191,8 @@
         request: Request,
         now: Instant,
     ) -> RequestId {
-        self.exchanges.pending_ids.insert(admitted.id.clone());
         let bytes = request.memory_bytes();
+        self.exchanges.pending_ids.insert(admitted.id.clone());
         let request = Rc::new(Counted::new(request, bytes, self.net.memory.charge(MemoryUse::Requests)));
         if let Some(shadow) = admitted.mirror {
             self.start_mirror_copy(shadow, &admitted, &request, now);
@@ -221,7 +230,7 @@
             id: admitted.id,
             pool: admitted.pool,
             pick_request,
-            request,
+            request: Some(request),
             attempts: 0,
             in_flight: 0,
             concluded: false,
@@ -511,11 +520,10 @@
             local_delay: zero,
             answer: None,
         };
-        if exchange.concluded {
+        let Some(message) = exchange.request.clone().filter(|_| !exchange.concluded) else {
             return self.attempt_ended_unpinned(unsent(Code::Moot));
-        }
-        let (message, pin, at_most_once) =
-            (exchange.request.clone(), exchange.pin, exchange.repeat_within == Some(Duration::ZERO));
+        };
+        let (pin, at_most_once) = (exchange.pin, exchange.repeat_within == Some(Duration::ZERO));
         if let Some((key, window)) = pin {
             let now = self.net.clock.unix_time(Instant::now());
             let has_several_pools =
--- a/crates/serve/src/http.rs
+++ b/crates/serve/src/http.rs
@@ -160,8 +160,8 @@
 #[derive(Debug)]
 pub enum Incoming {
     /// The request is incomplete. `expects_continue`: the caller may be waiting for a `100 Continue` before
-    /// it sends the body.
-    Partial { expects_continue: bool },
+    /// it sends the body. `missing_bytes`: how many bytes are missing, once the request's length is known.
+    Partial { expects_continue: bool, missing_bytes: Option<usize> },
     /// The complete request, and the number of input bytes that it used.
     Complete(Box<Request>, usize),
 }
@@ -194,7 +194,9 @@
         Ok(Status::Complete(n)) if n <= limits.max_head_bytes => start + n,
         Ok(Status::Complete(_)) | Err(httparse::Error::TooManyHeaders) => return Err(HttpError(431)),
         Ok(Status::Partial) if buf.len() > limits.max_head_bytes => return Err(HttpError(431)),
-        Ok(Status::Partial) => return Ok(Incoming::Partial { expects_continue: false }),
+        Ok(Status::Partial) => {
+            return Ok(Incoming::Partial { expects_continue: false, missing_bytes: None });
+        }
         Err(_) => return Err(HttpError(400)),
     };
     let (Some(method), Some(target), Some(version)) = (head.method, head.path, head.version) else {
@@ -216,7 +218,12 @@
     let Some((body, used)) =
         parse_body(&buf[head_len..], framing, false, limits.max_request_body_bytes, limits)?
     else {
-        return Ok(Incoming::Partial { expects_continue: headers.expects_continue && buf.len() == head_len });
+        let missing_bytes = match framing {
+            Framing::Length(length) => Some((head_len + length).saturating_sub(buf.len())),
+            _ => None,
+        };
+        let expects_continue = headers.expects_continue && buf.len() == head_len;
+        return Ok(Incoming::Partial { expects_continue, missing_bytes });
     };
     let text = |name: &str| -> Result<Option<String>, HttpError> {
         let mut found = head.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
@@ -523,8 +530,9 @@
     }
 }
 
-/// Serializes a request to an upstream. `timeout`: the time-out of the attempt, sent as `Req-Deadline`.
-pub fn write_request(out: &mut Vec<u8>, request: &Request, host: &str, timeout: Duration) {
+/// Serializes the head of a request to an upstream, which the body follows unchanged. `timeout`: the time-out
+/// of the attempt, sent as `Req-Deadline`.
+pub fn write_request_head(out: &mut Vec<u8>, request: &Request, host: &str, timeout: Duration) {
     let mut head = String::with_capacity(128);
     let _ = write!(head, "{} {} HTTP/1.1\r\nHost: {host}\r\n", request.method, request.target);
     let _ = write!(head, "Req-Deadline: {:.6}\r\n", timeout.as_secs_f64());
@@ -534,7 +542,6 @@
     out.extend_from_slice(head.as_bytes());
     out.extend_from_slice(&request.headers);
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(&request.body);
 }
 
 /// A response to a caller.
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -23,6 +23,7 @@
 mod fleet;
 mod http;
 mod memory;
+mod outgoing;
 pub mod plan;
 mod pools;
 mod reasons;
@@ -41,7 +42,7 @@
 use clock::Clock;
 use garnettally_config::file::format::LogRequests;
 pub use garnettally_config::Limits;
-use garnettally_decisions::facade::Report;
+use garnettally_decisions::facade::{MessageMemory, Report};
 use garnettally_routing::budget::HolderId;
 use garnettally_routing::pins::Pins;
 use memory::MemoryMeter;
@@ -148,12 +149,37 @@
         self.handle.remove(watched.token);
     }
 
+    /// The bounds on the memory that messages take.
+    pub fn message_memory(&self) -> MessageMemory {
+        MessageMemory {
+            requests: self.limits.max_requests_memory_bytes,
+            responses: self.limits.max_responses_memory_bytes,
+        }
+    }
+
+    /// Reads and discards available bytes until the socket has none left or `max_bytes` were discarded.
+    /// Returns whether bytes may be left, too.
+    pub fn discard(&mut self, mut stream: &TcpStream, max_bytes: usize) -> (ReadStatus, bool) {
+        let mut discarded = 0;
+        while discarded < max_bytes {
+            match stream.read(&mut self.scratch) {
+                Ok(0) => return (ReadStatus::Ended, false),
+                Ok(n) => discarded += n,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return (ReadStatus::Open, false),
+                Err(_) => return (ReadStatus::Broken, false),
+            }
+        }
+        (ReadStatus::Open, true)
+    }
+
     /// Appends available bytes to `buf` until the socket has none left or `buf` holds more than `max_bytes`.
     pub fn read(&mut self, mut stream: &TcpStream, buf: &mut Vec<u8>, max_bytes: usize) -> ReadStatus {
         while buf.len() <= max_bytes {
-            match stream.read(&mut self.scratch) {
+            let wanted = (max_bytes + 1 - buf.len()).min(self.scratch.len());
+            match stream.read(&mut self.scratch[..wanted]) {
                 Ok(0) => return ReadStatus::Ended,
-                Ok(n) => buf.extend_from_slice(&self.scratch[..n]),
+                Ok(n) => memory::append(buf, &self.scratch[..n]),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return ReadStatus::Open,
                 Err(_) => return ReadStatus::Broken,
--- a/crates/serve/src/memory.rs
+++ b/crates/serve/src/memory.rs
@@ -1,6 +1,7 @@
 //! Accounts for the memory that messages take: the buffers of connections and the requests that have been
-//! read.
+//! read. What may be taken is decided by [`MessageMemory`](garnettally_decisions::facade::MessageMemory).
 
+use garnettally_decisions::facade::MemoryHeld;
 use std::cell::Cell;
 use std::ops::Deref;
 use std::rc::Rc;
@@ -56,6 +57,16 @@
         self.0[purpose as usize].get()
     }
 
+    /// The bytes held for requests and for responses.
+    pub fn held(&self) -> MemoryHeld {
+        use MemoryUse::*;
+        let sum = |uses: &[MemoryUse]| uses.iter().map(|&u| self.bytes(u)).sum();
+        MemoryHeld {
+            requests: sum(&[CallerInput, ReadAhead, Requests, UpstreamOutput]),
+            responses: sum(&[UpstreamInput, CallerOutput]),
+        }
+    }
+
     /// A charge of no bytes yet.
     pub fn charge(&self, purpose: MemoryUse) -> Charge {
         Charge { meter: self.clone(), purpose, bytes: 0 }
@@ -103,21 +114,26 @@
         result
     }
 
-    /// Removes the first `count` bytes, and releases the memory beyond `retained_bytes` that the rest does not
-    /// need.
+    /// The number of bytes that the buffer takes, which may be more than it holds.
+    pub fn capacity(&self) -> usize {
+        self.bytes.capacity()
+    }
+
+    /// Removes the first `count` bytes. A buffer of more than `retained_bytes` is released, and the rest moves
+    /// to memory of its own: shrunk in place, it would keep the allocator from using what is around it.
     pub fn consume(&mut self, count: usize, retained_bytes: usize) {
         self.edit(|bytes| {
-            bytes.drain(..count);
-            bytes.shrink_to(retained_bytes);
+            if bytes.capacity() > retained_bytes {
+                *bytes = bytes[count..].to_vec();
+            } else {
+                bytes.drain(..count);
+            }
         });
     }
 
-    /// Removes all bytes, and releases the memory beyond `retained_bytes`.
+    /// Removes all bytes, and releases a buffer of more than `retained_bytes`.
     pub fn clear(&mut self, retained_bytes: usize) {
-        self.edit(|bytes| {
-            bytes.clear();
-            bytes.shrink_to(retained_bytes);
-        });
+        self.consume(self.bytes.len(), retained_bytes);
     }
 }
 
@@ -150,6 +166,15 @@
     }
 }
 
+/// Appends bytes, and lets the capacity grow by no more than a quarter beyond what they need: a buffer that
+/// doubles takes up to twice the memory of its message.
+pub fn append(buffer: &mut Vec<u8>, bytes: &[u8]) {
+    if buffer.capacity() - buffer.len() < bytes.len() {
+        buffer.reserve_exact(bytes.len().max(buffer.capacity() / 4));
+    }
+    buffer.extend_from_slice(bytes);
+}
+
 #[cfg(test)]
 #[path = "memory_tests.rs"]
 mod tests;
--- a/crates/serve/src/reasons.rs
+++ b/crates/serve/src/reasons.rs
@@ -13,6 +13,8 @@
     Finished,
     /// The connection was idle, and its place in the limits was needed for another connection.
     Displaced,
+    /// The client did not read its response, and the memory for responses was needed.
+    OutOfMemory,
     /// The attempt on the connection was cancelled.
     Cancelled,
     /// The attempt got no response in time, or the connection was not established in time.
@@ -30,6 +32,7 @@
             CloseReason::Idle => "idle",
             CloseReason::Finished => "finished",
             CloseReason::Displaced => "displaced by another connection",
+            CloseReason::OutOfMemory => "no memory for the unread response",
             CloseReason::Cancelled => "cancelled",
             CloseReason::TimedOut => "timed out",
             CloseReason::Broken => "broken",
@@ -43,6 +46,8 @@
 pub enum RefusalReason {
     /// The list of upstreams is stale: changes that the balancer has to obey may be missing from it.
     StaleList,
+    /// The memory for messages had no room for the request.
+    NoMemory,
     /// No upstream had room for the request in time.
     NoRoom,
     /// The request was attempted, and another attempt is not allowed or does not fit before the deadline.
@@ -51,13 +56,18 @@
 
 impl RefusalReason {
     /// All reasons, in the order in which `/stats` lists them.
-    pub const ALL: [RefusalReason; 3] =
-        [RefusalReason::StaleList, RefusalReason::NoRoom, RefusalReason::AttemptsFailed];
+    pub const ALL: [RefusalReason; 4] = [
+        RefusalReason::StaleList,
+        RefusalReason::NoMemory,
+        RefusalReason::NoRoom,
+        RefusalReason::AttemptsFailed,
+    ];
 
     /// The last part of the reason's metric name; the log uses the same word.
     pub fn name(self) -> &'static str {
         match self {
             RefusalReason::StaleList => "stale_list",
+            RefusalReason::NoMemory => "no_memory",
             RefusalReason::NoRoom => "no_room",
             RefusalReason::AttemptsFailed => "attempts_failed",
         }
--- a/crates/serve/src/stats_tests.rs
+++ b/crates/serve/src/stats_tests.rs
@@ -51,7 +51,7 @@
 #[test]
 fn class_names_are_bounded_in_number_and_never_split_a_line() {
     /// The number of lines that belong to no class.
-    const OTHER_LINES: usize = 18;
+    const OTHER_LINES: usize = 19;
     let mut stats = Stats::default();
     stats.record_outcome("a.b:c|d\ne", Outcome::Failed);
     for n in 0..10_000 {
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams.rs
@@ -1,7 +1,8 @@
 //! The upstream side: attempts, and the pooled connections that each carry one attempt at a time.
 
 use crate::http::{self, Request, Response};
-use crate::memory::{Buffer, MemoryUse};
+use crate::memory::{Buffer, Counted, MemoryUse};
+use crate::outgoing::OutgoingRequest;
 use crate::pools::PoolId;
 use crate::reasons::CloseReason;
 use crate::reservation::Reservation;
@@ -16,6 +17,7 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// An attempt: the request, and the attempt's number within that request.
@@ -77,9 +79,8 @@
     socket: WatchedStream,
     /// Whether the connection has been established.
     is_open: bool,
-    /// The request of the present attempt; its first `written` bytes have been written.
-    output: Buffer,
-    written: usize,
+    /// The request of the present attempt.
+    output: OutgoingRequest,
     /// The bytes received of a response that is not complete.
     input: Buffer,
     /// The attempt that the connection carries; `None` while the connection is idle.
@@ -262,7 +263,8 @@
 
     /// The attempts at an upstream of whose request no byte has been written.
     pub fn unwritten_attempts(&self, upstream: Target) -> Vec<Attempt> {
-        let unwritten_attempts = self.conns.values().filter(|c| c.upstream == upstream && c.written == 0);
+        let unwritten_attempts =
+            self.conns.values().filter(|c| c.upstream == upstream && c.output.is_untouched());
         unwritten_attempts.filter_map(|c| c.in_flight.as_ref()).map(|f| f.attempt).collect()
     }
 
@@ -294,7 +296,7 @@
 impl Conn {
     /// Whether the attempt's request is not written completely, and so can't have run.
     fn is_unwritten(&self) -> bool {
-        !self.is_open || self.written < self.output.len()
+        !self.is_open || !self.output.is_written()
     }
 
     /// The code of the attempt if the connection breaks now.
@@ -314,7 +316,7 @@
         &mut self,
         attempt: Attempt,
         to: Target,
-        request: &Request,
+        request: &Rc<Counted<Request>>,
         timeout: Duration,
         must_not_repeat: bool,
     ) {
@@ -366,8 +368,7 @@
                     address,
                     socket,
                     is_open: false,
-                    output: self.net.memory.buffer(MemoryUse::UpstreamOutput),
-                    written: 0,
+                    output: OutgoingRequest::new(&self.net.memory),
                     input: self.net.memory.buffer(MemoryUse::UpstreamInput),
                     in_flight: None,
                     idle_since: sent,
@@ -384,13 +385,8 @@
         self.upstreams.deadlines.push(Reverse((sent + timeout, attempt, false)));
         self.upstreams.connection_by_attempt.insert(attempt, id);
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
-        conn.written = 0;
         conn.input.edit(Vec::clear);
-        let host = conn.address.to_string();
-        conn.output.edit(|output| {
-            output.clear();
-            http::write_request(output, request, &host, timeout);
-        });
+        conn.output.begin(request, &conn.address.to_string(), timeout, &self.net.limits);
         conn.in_flight =
             Some(InFlight { attempt, sent_at: sent, is_head: request.method == "HEAD", local_delay: zero });
         if conn.is_open {
@@ -416,8 +412,7 @@
         }
         // The decision to send was made when the connection was requested, which may be long ago, so it is
         // checked again: the request can't run before its last byte is written.
-        let unwritten =
-            conn.in_flight.as_ref().filter(|_| conn.written < conn.output.len()).map(|f| f.attempt);
+        let unwritten = conn.in_flight.as_ref().filter(|_| !conn.output.is_written()).map(|f| f.attempt);
         if unwritten.is_some_and(|(request, _)| self.end_if_client_left(request)) {
             return;
         }
@@ -428,9 +423,9 @@
             return;
         }
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
-        let before = conn.written;
-        let wrote = crate::write_pending(&conn.socket.stream, &conn.output, &mut conn.written);
-        if conn.in_flight.is_some() && before < conn.output.len() && conn.written == conn.output.len() {
+        let was_written = conn.output.is_written();
+        let wrote = conn.output.write(&conn.socket.stream, &self.net.limits);
+        if conn.in_flight.is_some() && !was_written && conn.output.is_written() {
             self.stats.record_attempt_written();
         }
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
@@ -445,8 +440,11 @@
         }
         let is_large = conn.input.len() > self.net.limits.max_request_bytes;
         let pool = conn.upstream.pool;
-        let exceeds_memory =
+        let is_admitted =
+            self.net.message_memory().admits_response(self.net.memory.held(), conn.input.capacity());
+        let exceeds_share =
             is_large && self.upstreams.exceeds_memory_share(pool, self.net.limits.max_long_responses_bytes);
+        let exceeds_memory = exceeds_share || !is_admitted;
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
         if !conn.input.is_empty() {
             let is_head = conn.in_flight.as_ref().is_some_and(|f| f.is_head);
@@ -460,7 +458,7 @@
                     let why = match parsed {
                         Err(http::HttpError(413)) => "longer than an answer may be",
                         Err(_) => "malformed",
-                        _ if exceeds_memory => "the pool's incomplete answers exceed its share of memory",
+                        _ if exceeds_memory => "incomplete answers exceed their share of memory",
                         _ => "longer than an answer may be",
                     };
                     let (upstream, bytes) = (conn.upstream, conn.input.len());
@@ -491,7 +489,7 @@
             400..=499 if !matches!(answer.status, 408 | 425 | 429) => Code::Rejected,
             _ => Code::Error,
         };
-        let is_written = conn.written == conn.output.len();
+        let is_written = conn.output.is_written();
         let Some(ended) =
             conn.in_flight.as_ref().map(|f| f.result(code, &self.net.rounds).with_target(conn.upstream))
         else {
@@ -500,7 +498,7 @@
         if stays_open && is_written && answer.keep_alive {
             let upstream = conn.upstream;
             (conn.in_flight, conn.idle_since) = (None, Instant::now());
-            conn.input.clear(self.net.limits.read_chunk_bytes);
+            conn.input.clear(self.net.limits.retained_buffer_bytes);
             self.upstreams.connection_by_attempt.remove(&ended.attempt);
             self.upstreams.idle.entry(upstream).or_default().push(id);
         } else {
