--- a/crates/decisions/src/balancer/message_memory.rs
+++ b/crates/decisions/src/balancer/message_memory.rs
@@ -1,4 +1,4 @@
-//! Admission by memory: whether there is room for a request, for bytes that are being read, or for a response.
+//! Admission by memory: whether there is room for a request, for bytes being read, or for a response.
 
 /// A request is taken while it needs no more than this part of the room that is left for requests. So long
 /// requests are refused first, and short ones find room until hardly any is left.
