Know the keys of pins by the name of their class, not by its number

Cause: the pin of a key was found by a hash seeded with the number of its class, which is its place among the names of one version. Evidence: the new test fails for each class added or removed before the keyed one, with the weights moved in the same reload; with the weights alone (the older test) the key stays.

Change: PinKey is made from the name of the class, and the table of pins takes nothing else.

--- a/crates/routing/src/pins.rs
+++ b/crates/routing/src/pins.rs
@@ -4,15 +4,29 @@
 //! client asks again, the key's next request must still go to that pool, and to no pool at all once that pool
 //! has been removed.
 
+use crate::stable_hash;
 use garnettally_model::Micros;
 use rustc_hash::FxHashMap;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
+/// Identifies a key of a class in all versions of the configuration. A class is known by its name: its number
+/// is its place in the table of one version, and another class may have that place in the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PinKey(u64);
+
+impl PinKey {
+    /// The identifier of this key of the class with this name. With a secret `seed`, outsiders can't construct
+    /// keys that collide.
+    pub fn new(seed: u64, class_name: &str, key: &str) -> PinKey {
+        PinKey(stable_hash(stable_hash(seed, class_name.as_bytes()), key.as_bytes()))
+    }
+}
+
 /// The pool of each key whose window has not ended. `P` identifies a pool.
 pub struct Pins<P> {
-    by_key: FxHashMap<u64, Pin<P>>,
-    expiries: BinaryHeap<Reverse<(Micros, u64)>>,
+    by_key: FxHashMap<PinKey, Pin<P>>,
+    expiries: BinaryHeap<Reverse<(Micros, PinKey)>>,
     capacity: usize,
     last_number: u64,
 }
@@ -54,14 +68,20 @@
     }
 
     /// The pool that a key is pinned to, and the end of its window.
-    pub fn get(&self, now: Micros, key: u64) -> Option<(P, Micros)> {
+    pub fn get(&self, now: Micros, key: PinKey) -> Option<(P, Micros)> {
         self.by_key.get(&key).filter(|p| p.until > now).map(|p| (p.pool, p.until))
     }
 
     /// Records an attempt that is about to be sent. The window is that of the first attempt that may have
     /// run: later attempts do not lengthen it. Returns the number of the pin, to be passed to
     /// [`Pins::attempt_never_ran`].
-    pub fn record_attempt(&mut self, now: Micros, key: u64, pool: P, until: Micros) -> Result<u64, PinsFull> {
+    pub fn record_attempt(
+        &mut self,
+        now: Micros,
+        key: PinKey,
+        pool: P,
+        until: Micros,
+    ) -> Result<u64, PinsFull> {
         self.expire(now);
         if let Some(pin) = self.by_key.get_mut(&key) {
             pin.attempts = pin.attempts.saturating_add(1);
@@ -83,7 +103,7 @@
 
     /// Records that an attempt with this pin number has ended without having run. An attempt that outlived
     /// its window must not remove the pin of a later request.
-    pub fn attempt_never_ran(&mut self, key: u64, number: u64) {
+    pub fn attempt_never_ran(&mut self, key: PinKey, number: u64) {
         if let Some(pin) = self.by_key.get_mut(&key).filter(|p| p.number == number) {
             pin.attempts = pin.attempts.saturating_sub(1);
             if pin.attempts == 0 {
--- a/crates/routing/src/pins_tests.rs
+++ b/crates/routing/src/pins_tests.rs
@@ -5,36 +5,55 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
+/// A key of the tests.
+fn key(number: u64) -> PinKey {
+    PinKey::new(0, "class", &number.to_string())
+}
+
+#[test]
+fn keys_of_different_classes_and_seeds_are_different() {
+    let first = PinKey::new(1, "book", "k");
+    assert_eq!(first, PinKey::new(1, "book", "k"));
+    for other in [PinKey::new(1, "look", "k"), PinKey::new(2, "book", "k"), PinKey::new(1, "book", "l")] {
+        assert_ne!(first, other);
+    }
+    assert_ne!(PinKey::new(1, "ab", "c"), PinKey::new(1, "a", "bc"));
+}
+
 #[test]
 fn full_pins_accept_no_new_key_but_keep_the_stored_ones() {
     let mut pins = Pins::new(1);
-    assert_eq!(pins.record_attempt(Micros(0), 1, 'a', Micros(10)), Ok(1));
-    assert_eq!(pins.record_attempt(Micros(0), 2, 'a', Micros(10)), Err(PinsFull));
-    assert_eq!(pins.record_attempt(Micros(0), 1, 'a', Micros(20)), Ok(1));
-    assert_eq!(pins.get(Micros(9), 1), Some(('a', Micros(10))), "the window is the first attempt's");
-    assert_eq!(pins.get(Micros(10), 1), None);
+    assert_eq!(pins.record_attempt(Micros(0), key(1), 'a', Micros(10)), Ok(1));
+    assert_eq!(pins.record_attempt(Micros(0), key(2), 'a', Micros(10)), Err(PinsFull));
+    assert_eq!(pins.record_attempt(Micros(0), key(1), 'a', Micros(20)), Ok(1));
+    assert_eq!(pins.get(Micros(9), key(1)), Some(('a', Micros(10))), "the window is the first attempt's");
+    assert_eq!(pins.get(Micros(10), key(1)), None);
     assert_eq!(
-        pins.record_attempt(Micros(10), 2, 'b', Micros(20)),
+        pins.record_attempt(Micros(10), key(2), 'b', Micros(20)),
         Ok(2),
         "a pin whose window has ended is free again"
     );
-    pins.attempt_never_ran(2, 1);
-    assert_eq!(pins.get(Micros(11), 2).map(|p| p.0), Some('b'), "the attempt of another pin removes nothing");
+    pins.attempt_never_ran(key(2), 1);
+    assert_eq!(
+        pins.get(Micros(11), key(2)).map(|p| p.0),
+        Some('b'),
+        "the attempt of another pin removes nothing"
+    );
     pins.rebind('b', 'c');
-    assert_eq!(pins.get(Micros(11), 2).map(|p| p.0), Some('c'));
+    assert_eq!(pins.get(Micros(11), key(2)).map(|p| p.0), Some('c'));
 }
 
 #[derive(Clone, Debug)]
 enum Operation {
-    Send(u64, u8),
-    NeverRan(u64),
+    Send(PinKey, u8),
+    NeverRan(PinKey),
     AdvanceTime(i64),
 }
 
 fn operation() -> impl Strategy<Value = Operation> {
     prop_oneof![
-        (0u64..6, 0u8..3).prop_map(|(k, p)| Operation::Send(k, p)),
-        (0u64..6).prop_map(Operation::NeverRan),
+        (0u64..6, 0u8..3).prop_map(|(k, p)| Operation::Send(key(k), p)),
+        (0u64..6).prop_map(|k| Operation::NeverRan(key(k))),
         (0i64..30).prop_map(Operation::AdvanceTime),
     ]
 }
@@ -48,7 +67,7 @@
     ) {
         const WINDOW: i64 = 50;
         let mut pins = Pins::new(100);
-        let mut expected: BTreeMap<u64, (u8, Micros, u32)> = BTreeMap::new();
+        let mut expected: BTreeMap<PinKey, (u8, Micros, u32)> = BTreeMap::new();
         let mut now = Micros(0);
         for operation in operations {
             match operation {
@@ -75,7 +94,7 @@
                 Operation::AdvanceTime(elapsed) => now += Micros(elapsed),
             }
             expected.retain(|_, p| p.1 > now);
-            for key in 0..6 {
+            for key in (0..6).map(key) {
                 prop_assert_eq!(pins.get(now, key), expected.get(&key).map(|p| (p.0, p.1)));
             }
             prop_assert!(pins.expiries.len() <= 2 * pins.count() + 64 + 1);
--- a/crates/serve/src/admission.rs
+++ b/crates/serve/src/admission.rs
@@ -11,6 +11,7 @@
 use garnettally_routing::budget::HolderId;
 use garnettally_routing::failover;
 use garnettally_routing::pattern::RequestView;
+use garnettally_routing::pins::PinKey;
 use garnettally_routing::route::{PoolChoice, Route};
 use garnettally_routing::stable_hash;
 use garnettally_routing::table::RouteTable;
@@ -102,8 +103,8 @@
     /// The pools that may get the request after `pool`, in order, if no attempt can have run.
     pub fallback_pools: Vec<PoolId>,
     pub route: Option<Rc<ActiveRoute>>,
-    /// The hash of the idempotency key and the key's window, if a repeat must not go to another pool.
-    pub pin: Option<(u64, Micros)>,
+    /// The idempotency key and its window, if a repeat must not go to another pool.
+    pub pin: Option<(PinKey, Micros)>,
     /// The shadow pool that gets a mirrored copy.
     pub mirror: Option<PoolId>,
     /// The names of class and tenant for the log; `None`: requests are not logged.
@@ -218,11 +219,10 @@
             .resolve(&view, &matched.params)
             .map_err(|_| AdmissionError::Rejected(HttpError(400)))?;
         let (cost, repeat) = http::parse_hints(request).map_err(AdmissionError::Rejected)?;
-        // Keys of different classes are hashed separately. The seed is this process's own: only this process
-        // compares these hashes.
-        let seeded_hash = |text: &str| stable_hash(self.key_seed ^ u64::from(route.class.0), text.as_bytes());
         let pin = match (effect, &key_text) {
-            (Effect::Keyed { window, .. }, Some(text)) => Some((seeded_hash(text), *window)),
+            (Effect::Keyed { window, .. }, Some(text)) => {
+                Some((PinKey::new(self.key_seed, class, text), *window))
+            }
             _ => None,
         };
         // Every process has to choose the same pool for a key, so this hash has no seed.
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -13,6 +13,7 @@
 use crate::{ConnId, Proxy};
 use garnettally_config::file::format::LogRequests;
 use garnettally_decisions::facade::{Code, Decision, ListFreshness, Micros, PickRequest, Report, RequestId};
+use garnettally_routing::pins::PinKey;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{debug, info};
 use std::rc::Rc;
@@ -54,8 +55,8 @@
     repeat_deadline: Option<Instant>,
     /// The pools that may get the request, in order, if this pool refuses it and no attempt can have run.
     fallback_pools: Vec<PoolId>,
-    /// The hash of the idempotency key and the key's window, if a repeat must not go to another pool.
-    pin: Option<(u64, Micros)>,
+    /// The idempotency key and its window, if a repeat must not go to another pool.
+    pin: Option<(PinKey, Micros)>,
     /// The number of the pin's last recorded attempt.
     pin_number: u64,
     /// The request's unit of the request budgets, or the copy's unit of the budget for copies.
--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -165,6 +165,38 @@
     }
 }
 
+/// Guards against orders that run twice over a reload (review/2): keys were known by the number of their class,
+/// which is its place among the names, so that a class added or removed before it made each key a new one.
+#[test]
+fn a_key_stays_with_its_pool_when_classes_are_added_and_removed_before_its_repeat() {
+    let fail = Arc::new(AtomicBool::new(true));
+    let fails = fail.clone();
+    let blue = Upstream::start(move |_| match fails.load(Ordering::SeqCst) {
+        true => Reply::SendAndClose(Vec::new()),
+        false => ok_reply("blue"),
+    });
+    let green = named_node("green");
+    let text = |classes: &[&str], blue_weight: u32, green_weight: u32| {
+        let target = format!("split = {{ blue = {blue_weight}.0, green = {green_weight}.0 }}");
+        let pools = pool_with("blue", &[blue.address], "attempts = 1") + &pool("green", &[green.address]);
+        let added: Vec<_> = classes
+            .iter()
+            .map(|name| format!("[classes.{name}]\nrepeat = \"safe\"\naim = \"2s\"\ndeadline = \"3s\"\n"))
+            .collect();
+        let routes = classes.iter().map(|name| route(name, name, &format!("/{name}"), "pool = \"green\""));
+        let routes: String = routes.chain([route("book", "book", "/", &target)]).collect();
+        [FILE_HEAD.into(), added.concat(), pools, routes].concat()
+    };
+    let process = OperatedBalancer::start(&text(&["abc"], 1, 0));
+    assert_eq!(process.request(&post_request("/x", "k1")).status(), 502, "the attempt may have run");
+    fail.store(false, Ordering::SeqCst);
+    for classes in [&["abc", "aaa"][..], &[], &["aaa"], &["abc", "zzz"]] {
+        process.reload(&text(classes, 0, 1));
+        assert_eq!(body(&process.request(&post_request("/x", "k1"))), "blue", "classes {classes:?}");
+        assert_eq!(body(&process.request(&post_request("/x", &format!("new {}", classes.len())))), "green");
+    }
+}
+
 /// Guards against refusing repeats of open keys because their pool was replaced by one with the same nodes.
 #[test]
 fn a_replaced_pool_with_the_same_nodes_accepts_repeats_of_open_keys() {
