Send no attempt in another pool than the one that its key is pinned to

Cause: Pins::record_attempt did not compare the pool of a pin with that of the attempt, so of two live requests with one key one could move to the next pool of its list while the other was then sent in the first.

Change: such an attempt is not sent, as where the pins are full. A replaced pool counts as its successor, since requests that were taken before end in the old one.

--- a/crates/routing/src/pins.rs
+++ b/crates/routing/src/pins.rs
@@ -9,6 +9,7 @@
 use rustc_hash::FxHashMap;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::hash::Hash;
 
 /// Identifies a key of a class in all versions of the configuration. A class is known by its name: its number
 /// is its place in the table of one version, and another class may have that place in the next.
@@ -29,6 +30,8 @@
     expiries: BinaryHeap<Reverse<(Micros, PinKey)>>,
     capacity: usize,
     last_number: u64,
+    /// The pool that has replaced a pool and has the same nodes, by the replaced pool.
+    successors: FxHashMap<P, P>,
 }
 
 struct Pin<P> {
@@ -40,15 +43,27 @@
     number: u64,
 }
 
-/// All pins are in use: a key that can't be recorded must not be sent where a repeat could go elsewhere.
+/// Why an attempt can't be recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("all pins of keyed requests are in use")]
-pub struct PinsFull;
+pub enum PinError {
+    /// All pins are in use. The request must not be sent where a repeat could go to another pool.
+    #[error("all pins of keyed requests are in use")]
+    Full,
+    /// Another request with the key has, or may have, run in another pool. The request must not be sent.
+    #[error("the key is pinned to another pool")]
+    OtherPool,
+}
 
-impl<P: Copy + PartialEq> Pins<P> {
+impl<P: Copy + Eq + Hash> Pins<P> {
     /// Creates a store for up to `capacity` keys.
     pub fn new(capacity: usize) -> Pins<P> {
-        Pins { by_key: FxHashMap::default(), expiries: BinaryHeap::new(), capacity, last_number: 0 }
+        Pins {
+            by_key: FxHashMap::default(),
+            expiries: BinaryHeap::new(),
+            capacity,
+            last_number: 0,
+            successors: FxHashMap::default(),
+        }
     }
 
     /// The number of keys that are stored.
@@ -81,14 +96,18 @@
         key: PinKey,
         pool: P,
         until: Micros,
-    ) -> Result<u64, PinsFull> {
+    ) -> Result<u64, PinError> {
         self.expire(now);
+        let pool = self.current(pool);
         if let Some(pin) = self.by_key.get_mut(&key) {
+            if pin.pool != pool {
+                return Err(PinError::OtherPool);
+            }
             pin.attempts = pin.attempts.saturating_add(1);
             return Ok(pin.number);
         }
         if self.by_key.len() >= self.capacity {
-            return Err(PinsFull);
+            return Err(PinError::Full);
         }
         self.last_number += 1;
         self.by_key.insert(key, Pin { pool, until, attempts: 1, number: self.last_number });
@@ -99,6 +118,20 @@
     /// Pins the keys of a pool to another pool, which replaces it and has the same nodes.
     pub fn rebind(&mut self, from: P, to: P) {
         self.by_key.values_mut().filter(|p| p.pool == from).for_each(|p| p.pool = to);
+        self.successors.insert(from, to);
+    }
+
+    /// Forgets a pool that gets no attempt any more.
+    pub fn forget_pool(&mut self, pool: P) {
+        self.successors.remove(&pool);
+    }
+
+    /// The pool itself, or the last of those that have replaced it one after the other.
+    fn current(&self, mut pool: P) -> P {
+        while let Some(&successor) = self.successors.get(&pool) {
+            pool = successor;
+        }
+        pool
     }
 
     /// Records that an attempt with this pin number has ended without having run. An attempt that outlived
--- a/crates/routing/src/pins_tests.rs
+++ b/crates/routing/src/pins_tests.rs
@@ -24,7 +24,7 @@
 fn full_pins_accept_no_new_key_but_keep_the_stored_ones() {
     let mut pins = Pins::new(1);
     assert_eq!(pins.record_attempt(Micros(0), key(1), 'a', Micros(10)), Ok(1));
-    assert_eq!(pins.record_attempt(Micros(0), key(2), 'a', Micros(10)), Err(PinsFull));
+    assert_eq!(pins.record_attempt(Micros(0), key(2), 'a', Micros(10)), Err(PinError::Full));
     assert_eq!(pins.record_attempt(Micros(0), key(1), 'a', Micros(20)), Ok(1));
     assert_eq!(pins.get(Micros(9), key(1)), Some(('a', Micros(10))), "the window is the first attempt's");
     assert_eq!(pins.get(Micros(10), key(1)), None);
@@ -43,6 +43,30 @@
     assert_eq!(pins.get(Micros(11), key(2)).map(|p| p.0), Some('c'));
 }
 
+/// Guards against two live requests with one key that run in two pools: one moved to the next pool of its list
+/// while the other was sent in the first.
+#[test]
+fn an_attempt_in_another_pool_than_that_of_the_pin_is_refused() {
+    let (mut pins, now, until) = (Pins::new(9), Micros(0), Micros(10));
+    assert_eq!(pins.record_attempt(now, key(1), 'a', until), Ok(1));
+    assert_eq!(pins.record_attempt(now, key(1), 'b', until), Err(PinError::OtherPool));
+    pins.attempt_never_ran(key(1), 1);
+    assert_eq!(pins.record_attempt(now, key(1), 'b', until), Ok(2), "the only attempt never ran");
+}
+
+/// Requests that were taken before a pool was replaced end in the old pool, whose nodes the new one has.
+#[test]
+fn an_attempt_in_a_replaced_pool_counts_as_one_in_its_successor() {
+    let (mut pins, now, until) = (Pins::new(9), Micros(0), Micros(10));
+    assert_eq!(pins.record_attempt(now, key(1), 'a', until), Ok(1));
+    pins.rebind('a', 'b');
+    pins.rebind('b', 'c');
+    assert_eq!(pins.record_attempt(now, key(1), 'a', until), Ok(1));
+    assert_eq!(pins.record_attempt(now, key(2), 'a', until), Ok(2));
+    assert_eq!(pins.get(now, key(2)), Some(('c', until)), "repeats go to the pool that is left");
+    assert_eq!(pins.record_attempt(now, key(2), 'x', until), Err(PinError::OtherPool));
+}
+
 #[derive(Clone, Debug)]
 enum Operation {
     Send(PinKey, u8),
@@ -72,12 +96,15 @@
         for operation in operations {
             match operation {
                 Operation::Send(key, pool) => {
-                    let to = pins.get(now, key).map_or(pool, |p| p.0);
-                    prop_assert!(pins.record_attempt(now, key, to, now + Micros(WINDOW)).is_ok());
+                    let result = pins.record_attempt(now, key, pool, now + Micros(WINDOW));
                     expected.retain(|_, p| p.1 > now);
                     let pin = expected.entry(key).or_insert((pool, now + Micros(WINDOW), 0));
-                    pin.2 += 1;
-                    prop_assert_eq!(to, pin.0);
+                    if pin.0 == pool {
+                        prop_assert!(result.is_ok());
+                        pin.2 += 1;
+                    } else {
+                        prop_assert_eq!(result, Err(PinError::OtherPool));
+                    }
                 }
                 Operation::NeverRan(key) => {
                     expected.retain(|_, p| p.1 > now);
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -13,7 +13,7 @@
 use crate::{ConnId, Proxy};
 use garnettally_config::file::format::LogRequests;
 use garnettally_decisions::facade::{Code, Decision, ListFreshness, Micros, PickRequest, Report, RequestId};
-use garnettally_routing::pins::PinKey;
+use garnettally_routing::pins::{PinError, PinKey};
 use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{debug, info};
 use std::rc::Rc;
@@ -533,10 +533,9 @@
             if let (Ok(number), Some(exchange)) = (pinned, self.exchanges.open.get_mut(&request)) {
                 exchange.pin_number = number;
             }
-            if pinned.is_err() {
-                // The pin can't be recorded: if the key could go to another pool, the request must not be
-                // sent.
-                if has_several_pools {
+            if let Err(error) = pinned {
+                // Without a pin, a request whose key could go to another pool must not be sent.
+                if has_several_pools || error == PinError::OtherPool {
                     return self.attempt_ended_unpinned(unsent(Code::ConnectFailed));
                 }
                 if let Some(exchange) = self.exchanges.open.get_mut(&request) {
--- a/crates/serve/src/pools.rs
+++ b/crates/serve/src/pools.rs
@@ -321,6 +321,7 @@
         for id in ids {
             self.close_watch(id);
             self.upstreams.remove_pool(&self.net, id);
+            self.pins.forget_pool(id);
             if let Some(pool) = self.pools.all.remove(&id) {
                 self.budgets.connections.remove_holder(pool.connections);
                 info!(self.net.log, "the pool has ended"; "pool" => pool.name);
