Allow one attempt in the test of a removed pool, whose module may repeat a late one

Seen again beside 16 busy loops with the log at debug: the reload took over 0.2 s, the attempt that the node holds back was overdue (cancelled after 214 ms), and the module repeated it in the same pool, as the class allows. So the count holds only where the reload takes less than 0.2 s; the test is wrong there, not the program.

Change: the pool has attempts = 1, as in the test of weights; all asserts are as they were.

--- a/tests/pools.rs
+++ b/tests/pools.rs
@@ -113,9 +113,9 @@
         ok_reply("old")
     });
     let new = named_node("new");
-    let before =
-        [FILE_HEAD.into(), pool("old", &[old.address]), route("book", "book", "/", "pool = \"old\"")]
-            .concat();
+    // One attempt: on a busy machine the reload may take so long that the module would send another.
+    let old_pool = pool_with("old", &[old.address], "attempts = 1");
+    let before = [FILE_HEAD.into(), old_pool, route("book", "book", "/", "pool = \"old\"")].concat();
     let after = [FILE_HEAD.into(), pool("new", &[new.address]), route("book", "book", "/", "pool = \"new\"")]
         .concat();
     let process = OperatedBalancer::start(&before);
