Check a new configuration after its text is known to be whole, not before

Cause: a version was read and checked between two looks at the file's time. With a line for each try in the log: the check took 58 to 158 ms there, and in each of 20 tries within 2 s the next file had been renamed into place meanwhile.

Change: only reading stands between the two looks; the text is checked after that. Not done: a test of its own; the failure needs a check that is slower than the pace of the files.

--- a/crates/config/src/file/mod.rs
+++ b/crates/config/src/file/mod.rs
@@ -66,7 +66,8 @@
     }
 }
 
-fn read(path: &str) -> Result<String, Problems> {
+/// Reads the text of a file without checking it; a file that is too long is refused.
+pub fn read(path: &str) -> Result<String, Problems> {
     let failed = |message: String| {
         let (file, key, remedy) = (path.to_string(), KeyPath::default(), String::new());
         Problems(vec![Problem { file, line: 0, key, message, remedy }])
--- a/crates/serve/src/reload.rs
+++ b/crates/serve/src/reload.rs
@@ -159,8 +159,12 @@
         let before = stamp(&path);
         let loaded = match before {
             Some(stamp) if may_be_changing(stamp, settle_time) => None,
-            // The content read is used only if the file has not changed meanwhile.
-            _ => Some(file::load(&path)).filter(|_| stamp(&path) == before),
+            _ => {
+                // The text is used only if the file has not changed while it was read. It is checked after that:
+                // where files are replaced in quick succession, the next one may come before the check ends.
+                let text = file::read(&path);
+                (stamp(&path) == before).then(|| text.and_then(|text| file::parse(&path, &text)))
+            }
         };
         let Some(loaded) = loaded else {
             if now < give_up {
