--- /dev/null
+++ b/tests/floods/main.rs
@@ -0,0 +1,110 @@
+//! Clients that send at full speed, beside usual ones: the usual ones get their answers in time and as many of
+//! them as before. Each play starts the real program.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod clients;
+
+use clients::{Flood, Flooder, UsualClient, UsualOutcomes};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use support::{config_text, free_address, host_entry, Balancer, Discovery, Message};
+
+const UPSTREAMS: usize = 4;
+const USUAL_CLIENTS: usize = 24;
+/// How long an upstream takes for an answer.
+const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// How long the usual clients are alone before the flood.
+const QUIET_TIME: Duration = Duration::from_secs(2);
+const FLOOD_TIME: Duration = Duration::from_secs(4);
+/// The part of the quiet rate that is completed beside a flood (issue 65).
+const MIN_COMPLETED_PART: f64 = 0.9;
+/// How many times as long as in the quiet time the slowest hundredth may take (issue 65).
+const MAX_SLOWDOWN: f64 = 2.0;
+
+/// Plays are played one at a time: side by side each would get too little of the processor.
+static STAGE: Mutex<()> = Mutex::new(());
+
+/// Starts an upstream that answers each request after [`SERVICE_TIME`], on a thread for each connection.
+fn start_upstream() -> SocketAddr {
+    use std::io::{BufReader, Write};
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut input = BufReader::new(stream.try_clone().unwrap());
+                while Message::read(&mut input).is_some() {
+                    thread::sleep(SERVICE_TIME);
+                    if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Plays a flood by this many clients beside the usual ones, and checks what became of the usual requests.
+fn play(flooders: usize, flood: Flood) {
+    let _stage = STAGE.lock().unwrap_or_else(|e| e.into_inner());
+    let hosts: Vec<String> =
+        (0..UPSTREAMS).map(|n| host_entry(&format!("s{n}"), start_upstream(), 0, "SERVING")).collect();
+    let discovery = Discovery::start();
+    let address = free_address();
+    let text = config_text(address, discovery.address, 1024, &hosts);
+    let balancer = Balancer::start_with_config(address, &text, |_| {});
+    let (outcomes, stop) = (Arc::new(UsualOutcomes::default()), Arc::new(AtomicBool::new(false)));
+    let mut threads: Vec<_> = (0..USUAL_CLIENTS)
+        .map(|number| {
+            let client = UsualClient { address, number, outcomes: outcomes.clone(), stop: stop.clone() };
+            thread::spawn(move || client.run())
+        })
+        .collect();
+    thread::sleep(QUIET_TIME);
+    let flood_begins = Instant::now();
+    threads.extend((0..flooders).map(|_| {
+        let flooder = Flooder { address, flood, stop: stop.clone() };
+        thread::spawn(move || flooder.run())
+    }));
+    thread::sleep(FLOOD_TIME);
+    stop.store(true, Ordering::Relaxed);
+    threads.into_iter().for_each(|t| t.join().unwrap());
+    drop(balancer);
+    let (quiet, flooded) = outcomes.split_at(flood_begins);
+    println!("{flooders} clients, {flood:?}: quiet {quiet}; flooded {flooded}");
+    assert_eq!((flooded.late, flooded.unanswered, flooded.not_served), (0, 0, 0), "{flooded}");
+    let expected = quiet.completed as f64 * FLOOD_TIME.as_secs_f64() / QUIET_TIME.as_secs_f64();
+    assert!(flooded.completed as f64 >= MIN_COMPLETED_PART * expected, "{} of {expected}", flooded.completed);
+    assert!(flooded.slowest_hundredth <= quiet.slowest_hundredth.mul_f64(MAX_SLOWDOWN), "{flooded}");
+}
+
+#[test]
+fn usual_requests_are_answered_beside_one_client_that_pipelines_at_full_speed() {
+    play(1, Flood::Ready { at_once: 1 });
+}
+
+#[test]
+fn usual_requests_are_answered_beside_six_clients_that_pipeline_at_full_speed() {
+    play(6, Flood::Ready { at_once: 300 });
+}
+
+#[test]
+fn usual_requests_are_answered_beside_a_crowd_that_pipelines_at_full_speed() {
+    play(40, Flood::Ready { at_once: 300 });
+}
+
+#[test]
+fn usual_requests_are_answered_beside_unsound_requests_on_ever_new_connections() {
+    play(6, Flood::UnknownClass { at_once: 300 });
+}
+
+#[test]
+fn usual_requests_are_answered_beside_connections_that_open_and_close_at_full_speed() {
+    play(6, Flood::Connections);
+}
