Bound the work of a turn of the event loop over all clients' connections

Cause, of the class 'a queue that can hold one thing twice, and a bound for each connection with none over all': the list of connections with unread input took an id anew at each event and at each round, so that one connection was handled some 20 times in a round; and each time it could have 96 KiB of requests answered, each with a write of its own, while deadlines, upstreams and decisions waited for all.

Change: an event only marks its connection (turns.rs: a queue that holds each id once). A turn of the loop gives ready connections a quantum in turn (8 units: a request, or 4 KiB), 64 units over all, then goes back to upstreams, deadlines and decisions. What a quantum answers goes out in one write. Accepts of a turn are bounded, also at the admin address. /stats tells the longest turn and the connections that wait (the test of its lines counts two more that belong to no class).

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -52,6 +52,12 @@
     pub caller_linger_timeout: Duration,
     /// The most bytes that a lingering connection discards in one turn, so that other connections get theirs.
     pub caller_discard_bytes: usize,
+    /// The work of a caller's connection in one turn of the event loop, in units: a request, or 4 KiB of input.
+    pub quantum_units: usize,
+    /// The work of all callers' connections in one turn of the event loop, in the same units.
+    pub turn_units: usize,
+    /// The most connections that a listener accepts in one turn of the event loop.
+    pub accepts_per_turn: usize,
     /// The most bytes of unfinished requests that all caller connections together may buffer.
     pub max_callers_buffered_bytes: usize,
     /// The most bytes that requests may take: those being received, and those that are not finished.
@@ -221,7 +227,10 @@
             caller_request_timeout: Duration::from_secs(2),
             caller_min_age_to_evict: Duration::from_millis(100),
             caller_linger_timeout: Duration::from_secs(2),
-            caller_discard_bytes: 256 << 10,
+            caller_discard_bytes: 64 << 10,
+            quantum_units: 8,
+            turn_units: 64,
+            accepts_per_turn: 16,
             max_callers_buffered_bytes: (inputs.memory_mb << 20) / 8,
             max_requests_memory_bytes: (inputs.memory_mb << 20) / MEMORY_PARTS,
             max_responses_memory_bytes: (inputs.memory_mb << 20) / MEMORY_PARTS,
--- a/crates/serve/src/admin.rs
+++ b/crates/serve/src/admin.rs
@@ -231,11 +231,11 @@
 }
 
 impl Proxy {
-    /// Accepts every queued admin connection; above the limit, the oldest connection is closed for a new one.
+    /// Accepts the queued admin connections, a bounded number in one turn; above the limit, the oldest connection is closed for a new one.
     fn admin_accept(&mut self) {
         let Some((listener, _)) = &self.admin.listener else { return };
         let listener = listener.clone();
-        loop {
+        for _ in 0..self.net.limits.accepts_per_turn {
             let stream = match accept(&listener) {
                 AcceptResult::Stream(stream) => stream,
                 // The level-triggered listener reports connections that are still queued again.
@@ -355,7 +355,9 @@
         };
         let lists_stale = self.pools.iter().filter(is_stale).count();
         let pending = self.exchanges.pending();
-        let mut gauges = Gauges { pending, lists_stale, ..Gauges::default() };
+        let (connections_ready, longest_turn) = (self.callers.ready_count(), self.net.rounds.longest_turn());
+        let mut gauges =
+            Gauges { pending, lists_stale, connections_ready, longest_turn, ..Gauges::default() };
         for pool in self.pools.iter().filter(|p| !p.is_retired) {
             let (members, unavailable) = pool.health.node_counts(at);
             gauges.members += members;
--- a/crates/serve/src/callers/listeners.rs
+++ b/crates/serve/src/callers/listeners.rs
@@ -68,7 +68,7 @@
         let listener = Rc::new(bound);
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
         let token = net.handle.insert_source(source, move |_, _, proxy: &mut Proxy| {
-            proxy.accept(id);
+            proxy.accept(id, proxy.net.limits.accepts_per_turn);
             Ok(PostAction::Continue)
         });
         let token = token.map_err(|e| io::Error::other(e.error))?;
@@ -150,21 +150,26 @@
     /// Accepts every queued connection at every listener.
     pub fn accept_all(&mut self) {
         for id in self.callers.listeners.keys().copied().collect::<Vec<_>>() {
-            self.accept(id);
+            self.accept(id, usize::MAX);
         }
     }
 
-    /// Accepts every queued connection. At the limit idle connections are closed to make room; while none is
+    /// Accepts queued connections, `max` at the most. At the limit idle connections are closed to make room; while none is
     /// idle, new connections wait in the kernel's queue: closing one there would lose a request that
     /// its client may already have sent.
-    pub fn accept(&mut self, listener_id: ListenerId) {
+    pub fn accept(&mut self, listener_id: ListenerId, max: usize) {
         // More failed connections in a row than this are no coincidence: accepting pauses, so that the loop
         // does not spin.
         const MAX_FAILED_IN_A_ROW: u32 = 64;
         let mut failed = 0;
+        let mut accepted = 0;
         while let Some((entry, (listener, _))) =
             self.callers.listeners.get(&listener_id).and_then(|l| l.socket.as_ref().map(|s| (l, s)))
         {
+            // The level-triggered listener reports again what is still queued.
+            if accepted == max {
+                return;
+            }
             let (listener, connection_holder, caller_holder) =
                 (listener.clone(), entry.connection_holder, entry.caller_holder);
             // The budget of callers' connections is one larger than their limit, so that no connection is
@@ -196,10 +201,11 @@
                 self.budgets.callers.reserve(&[Some(caller_holder)]),
             );
             let (Ok(connection_reservation), Ok(caller_reservation)) = reservations else { continue };
+            accepted += 1;
             let id = self.net.next_connection_id();
             let stream =
                 stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true)).map(|()| stream);
-            let ready = move |proxy: &mut Proxy, _| proxy.caller_ready(id);
+            let ready = move |proxy: &mut Proxy, _| proxy.callers.mark_ready(id);
             let socket = match stream.and_then(|s| self.net.watch(s, ready)) {
                 Ok(socket) => socket,
                 Err(e) => {
@@ -257,7 +263,7 @@
     /// Closes a listener that the newest version of the configuration does not name.
     pub fn retire_listener(&mut self, id: ListenerId) {
         // A connection in the kernel's queue counts as accepted: its client may already have sent a request.
-        self.accept(id);
+        self.accept(id, usize::MAX);
         self.callers.close_listener(&self.net, id);
     }
 
--- a/crates/serve/src/callers/mod.rs
+++ b/crates/serve/src/callers/mod.rs
@@ -10,6 +10,7 @@
 use crate::memory::{Buffer, Charge};
 use crate::reasons::CloseReason;
 use crate::reservation::Reservation;
+use crate::turns::ReadyQueue;
 use crate::{ConnId, Limits, Net, Proxy, WatchedStream};
 use garnettally_decisions::facade::RequestId;
 use garnettally_routing::budget::{exceeds_share, HolderId, Refusal, Share};
@@ -76,8 +77,8 @@
     /// The number given to the newest listener.
     last_listener: u64,
     conns: FxHashMap<ConnId, Conn>,
-    /// The connections that had more input than one round reads.
-    unread: Vec<ConnId>,
+    /// The connections that may be readable or writable, and wait for their turn.
+    ready: ReadyQueue<ConnId>,
 }
 
 impl Callers {
@@ -116,9 +117,24 @@
         exceeds_share(capacity, &buffered.into_values().collect::<Vec<_>>(), index)
     }
 
-    /// Whether connections have input that the last round did not read.
-    pub fn has_unread(&self) -> bool {
-        !self.unread.is_empty()
+    /// Whether connections wait for their turn.
+    pub fn has_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
+    /// How many connections wait for their turn.
+    pub fn ready_count(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Marks a connection as readable or writable; it is handled when its turn comes.
+    pub fn mark_ready(&mut self, id: ConnId) {
+        self.ready.push(id);
+    }
+
+    /// Whether so much waits to be written that the next request of a connection is not processed.
+    fn exceeds_backlog(&self, id: ConnId, limits: &Limits) -> bool {
+        self.conns.get(&id).is_some_and(|c| c.backlog_bytes() > limits.max_caller_backlog_bytes)
     }
 
     fn drop_conn(&mut self, net: &Net, id: ConnId, reason: CloseReason) {
@@ -248,13 +264,14 @@
             }
             FinalResponse::Refused { retry_after } => self.write_refusal(id, retry_after),
         }
+        self.flush_caller(id);
         // The client may have sent its next request in the meantime.
         if self.callers.conns.get(&id).is_some_and(|c| c.has_input() || c.has_unread) {
-            self.caller_ready(id);
+            self.callers.mark_ready(id);
         }
     }
 
-    /// Writes a response; afterwards the connection closes or accepts its next request.
+    /// Queues a response to be written; afterwards the connection closes or accepts its next request.
     fn write_response(&mut self, id: ConnId, response: &OutgoingResponse<'_>) {
         let closing = self.shutdown.is_closing()
             || self.admin.draining()
@@ -265,6 +282,11 @@
         conn.output.edit(|output| http::write_response(output, response, close));
         conn.state = if conn.close_after_response { ConnState::Lingering } else { ConnState::Reading };
         conn.since = Instant::now();
+    }
+
+    /// Writes what a connection has to write, as far as its socket accepts it.
+    fn flush_caller(&mut self, id: ConnId) {
+        let Some(conn) = self.callers.conns.get_mut(&id).filter(|c| !c.output.is_empty()) else { return };
         if flush(conn, &self.net.limits).is_err() {
             return self.caller_left(id);
         }
@@ -304,6 +326,7 @@
         }
         for id in slow {
             self.reject_caller(id, HttpError(408));
+            self.flush_caller(id);
         }
         for id in expired {
             self.caller_ready(id); // its next request, or its close, may have arrived just now
@@ -337,7 +360,8 @@
     fn close_if_idle(&mut self, id: ConnId) {
         let Some(conn) = self.callers.conns.get_mut(&id) else { return };
         if conn.socket.stream.peek(&mut [0]).is_ok_and(|n| n > 0) {
-            return self.caller_ready(id);
+            self.caller_ready(id);
+            return;
         }
         (conn.close_after_response, conn.state, conn.since) = (true, ConnState::Lingering, Instant::now());
         if conn.socket.stream.shutdown(Shutdown::Write).is_err() {
--- a/crates/serve/src/callers/reading.rs
+++ b/crates/serve/src/callers/reading.rs
@@ -1,9 +1,10 @@
 //! What is read from callers: requests, the bytes behind them, and closes.
 
-use super::{flush, Conn, ConnState};
+use super::{Conn, ConnState};
 use crate::admission::{AdmissionError, RETRY_AFTER};
 use crate::http::{self, HttpError, Incoming, OutgoingResponse};
 use crate::reasons::RefusalReason;
+use crate::turns::WorkBudget;
 use crate::{ConnId, Limits, Net, Proxy, ReadStatus};
 use std::time::Instant;
 
@@ -59,35 +60,52 @@
 }
 
 impl Proxy {
-    /// Handles a connection that may be readable or writable: writes pending output, reads input and
-    /// processes the requests in it.
-    pub(super) fn caller_ready(&mut self, id: ConnId) {
-        let Some(conn) = self.callers.conns.get_mut(&id) else { return };
-        if flush(conn, &self.net.limits).is_err() {
-            return self.caller_left(id);
+    /// Serves the connections that are ready, in turn, until the work of one turn of the event loop is done.
+    pub fn serve_ready_callers(&mut self) {
+        let mut left = self.net.limits.turn_units;
+        for _ in 0..self.callers.ready.len() {
+            if left == 0 {
+                return;
+            }
+            let Some(id) = self.callers.ready.pop() else { return };
+            left = left.saturating_sub(self.caller_ready(id).max(1));
         }
-        match conn.state {
-            ConnState::Reading => self.read_requests(id),
-            ConnState::Waiting(_) => self.read_behind_request(id),
-            ConnState::Lingering => self.discard_unread(id),
+    }
+
+    /// Gives a connection that may be readable or writable its quantum: writes pending output, reads input
+    /// and processes the requests in it. Returns the units of work that it took.
+    pub(super) fn caller_ready(&mut self, id: ConnId) -> usize {
+        let quantum = self.net.limits.quantum_units;
+        let mut budget = WorkBudget::new(quantum);
+        self.flush_caller(id);
+        match self.callers.conns.get(&id).map(|c| c.state) {
+            Some(ConnState::Reading) => self.read_requests(id, &mut budget),
+            Some(ConnState::Waiting(_)) => self.read_behind_request(id, &mut budget),
+            Some(ConnState::Lingering) => self.discard_unread(id, &mut budget),
+            None => {}
         }
+        // All that the quantum has answered goes out in one write.
+        self.flush_caller(id);
+        quantum - budget.left()
     }
 
     /// Reads and processes requests until one awaits its response, the socket has no more bytes, or the
-    /// connection has had its part of this round. Little more than one request is read at a time; what
-    /// follows stays in the socket.
-    fn read_requests(&mut self, id: ConnId) {
-        let mut left = self.net.limits.max_request_bytes;
-        self.process_requests(id);
-        while let Some(conn) = self.callers.conns.get_mut(&id) {
+    /// quantum is used up. Little more than one request is read at a time; what follows stays in the socket.
+    fn read_requests(&mut self, id: ConnId, budget: &mut WorkBudget) {
+        self.process_requests(id, budget);
+        loop {
+            if self.callers.exceeds_backlog(id, &self.net.limits) {
+                self.flush_caller(id);
+            }
+            let Some(conn) = self.callers.conns.get_mut(&id) else { return };
             match conn.state {
-                ConnState::Waiting(_) => return self.read_behind_request(id),
-                ConnState::Lingering => return self.discard_unread(id),
+                ConnState::Waiting(_) => return self.read_behind_request(id, budget),
+                ConnState::Lingering => return self.discard_unread(id, budget),
                 // The socket is full; once it is writable, the connection is handled again.
                 ConnState::Reading if conn.backlog_bytes() > self.net.limits.max_caller_backlog_bytes => {
                     return
                 }
-                ConnState::Reading if left == 0 => return self.callers.unread.push(id),
+                ConnState::Reading if budget.is_used_up() => return self.callers.ready.push(id),
                 ConnState::Reading => {}
             }
             let wanted = conn.missing_bytes.unwrap_or(self.net.limits.request_head_read_bytes).max(1);
@@ -96,14 +114,16 @@
                 // The input may contain a complete request, but its client no longer waits for a response.
                 return self.caller_left(id);
             }
-            left = left.saturating_sub(received.bytes);
+            budget.spend_bytes(received.bytes);
             if received.bytes > 0 {
-                self.process_requests(id);
+                self.process_requests(id, budget);
                 self.limit_incomplete(id);
             }
             if received.is_socket_empty {
-                if let Some(conn) = self.callers.conns.get_mut(&id) {
-                    conn.has_unread = false;
+                let Some(conn) = self.callers.conns.get_mut(&id) else { return };
+                conn.has_unread = false;
+                if budget.is_used_up() && !conn.input.is_empty() {
+                    self.callers.ready.push(id);
                 }
                 return;
             }
@@ -113,9 +133,12 @@
     /// Reads what a client sends behind a request that awaits its response, as far as the limits allow, so
     /// that a close behind it is noticed: the kernel can't know of a close behind more bytes than its socket
     /// buffer holds. The event loop is edge-triggered and does not report again what is left in the socket.
-    fn read_behind_request(&mut self, id: ConnId) {
+    fn read_behind_request(&mut self, id: ConnId, budget: &mut WorkBudget) {
         let wanted = self.net.limits.read_chunk_bytes;
         while self.may_read_ahead(id) {
+            if budget.is_used_up() {
+                return self.callers.ready.push(id);
+            }
             let Some(conn) = self.callers.conns.get_mut(&id) else { return };
             let mut bytes = Vec::new();
             let reading = self.net.read(&conn.socket.stream, &mut bytes, wanted - 1);
@@ -123,6 +146,7 @@
                 return self.caller_left(id);
             }
             conn.extend_read_ahead(&bytes);
+            budget.spend_bytes(bytes.len());
             conn.has_unread = bytes.len() == wanted;
             if !conn.has_unread {
                 return;
@@ -148,23 +172,19 @@
     }
 
     /// Discards what a client sends after its last response.
-    fn discard_unread(&mut self, id: ConnId) {
+    fn discard_unread(&mut self, id: ConnId, budget: &mut WorkBudget) {
+        self.flush_caller(id);
         let Some(conn) = self.callers.conns.get_mut(&id) else { return };
         conn.discard_input();
-        match self.net.discard(&conn.socket.stream, self.net.limits.caller_discard_bytes) {
-            (ReadStatus::Open, true) => self.callers.unread.push(id),
+        let max_bytes = self.net.limits.caller_discard_bytes;
+        budget.spend_bytes(max_bytes);
+        match self.net.discard(&conn.socket.stream, max_bytes) {
+            (ReadStatus::Open, true) => self.callers.ready.push(id),
             (ReadStatus::Open, false) => {}
             (ReadStatus::Ended | ReadStatus::Broken, _) => self.caller_left(id),
         }
     }
 
-    /// Continues with the connections whose input could not be read or discarded in one round.
-    pub fn resume_reading(&mut self) {
-        for id in std::mem::take(&mut self.callers.unread) {
-            self.caller_ready(id);
-        }
-    }
-
     /// Ends the incomplete request of a connection if the limits have no room for it: with 413 if the
     /// listener's connections buffer more than their share, with 503 if the process holds too much.
     fn limit_incomplete(&mut self, id: ConnId) {
@@ -183,11 +203,12 @@
         }
     }
 
-    /// Processes the requests in the input, as far as they are complete.
-    fn process_requests(&mut self, id: ConnId) {
+    /// Processes the requests in the input, as far as they are complete and the quantum allows.
+    fn process_requests(&mut self, id: ConnId, budget: &mut WorkBudget) {
         while let Some(conn) = self.callers.conns.get_mut(&id) {
             let has_backlog = conn.backlog_bytes() > self.net.limits.max_caller_backlog_bytes;
-            if conn.state != ConnState::Reading || conn.input.is_empty() || has_backlog {
+            let is_reading = conn.state == ConnState::Reading;
+            if !is_reading || conn.input.is_empty() || has_backlog || budget.is_used_up() {
                 return;
             }
             match http::parse_request(&conn.input, &self.net.limits) {
@@ -198,13 +219,11 @@
                     conn.missing_bytes = missing_bytes;
                     if expects_continue && !std::mem::replace(&mut conn.sent_continue, true) {
                         conn.output.edit(|output| output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n"));
-                        if flush(conn, &self.net.limits).is_err() {
-                            self.caller_left(id);
-                        }
                     }
                     return;
                 }
                 Ok(Incoming::Complete(request, used)) => {
+                    budget.spend_unit();
                     conn.input.consume(used, self.net.limits.retained_buffer_bytes);
                     (conn.sent_continue, conn.had_request, conn.since) = (false, true, Instant::now());
                     conn.missing_bytes = None;
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -34,6 +34,7 @@
 mod socket_errors;
 mod source;
 mod stats;
+mod turns;
 mod upstreams;
 
 use calloop::generic::Generic;
@@ -342,7 +343,7 @@
             self.pins.expire(self.net.clock.unix_time(now));
         }
         self.resume_accepting(now);
-        self.resume_reading();
+        self.serve_ready_callers();
         self.continue_shutdown(now);
         self.run_due_modules(now);
         self.exchange_with_fleet(now);
@@ -375,7 +376,7 @@
 
     /// The time until which the event loop may wait for sockets: the earliest time at which work is due.
     fn next_wake(&self) -> Option<Instant> {
-        if self.callers.has_unread() {
+        if self.callers.has_ready() {
             return Some(Instant::now());
         }
         let wakes = [
--- a/crates/serve/src/rounds.rs
+++ b/crates/serve/src/rounds.rs
@@ -21,6 +21,8 @@
     previous_wake: Instant,
     /// When the present round's wait ended; set by the [`Waker`].
     last_wake: Rc<Cell<Instant>>,
+    /// The longest time between the end of a wait and the beginning of the next one.
+    longest_turn: Duration,
 }
 
 /// Records when a wait ends, before any event of its round is handled.
@@ -30,7 +32,15 @@
     /// The state when the event loop starts, at `now`.
     pub fn new(now: Instant) -> Rounds {
         let last_wake = Rc::new(Cell::new(now));
-        Rounds { previous_wait_began: now, wait_began: now, wait_until: None, previous_wake: now, last_wake }
+        let longest_turn = Duration::ZERO;
+        Rounds {
+            previous_wait_began: now,
+            wait_began: now,
+            wait_until: None,
+            previous_wake: now,
+            last_wake,
+            longest_turn,
+        }
     }
 
     /// The event source to insert into the event loop, which reports the end of each wait.
@@ -40,11 +50,17 @@
 
     /// Records that the event loop begins to wait at `now`, until `until` at the latest.
     pub fn begin_wait(&mut self, now: Instant, until: Option<Instant>) {
+        self.longest_turn = self.longest_turn.max(now.saturating_duration_since(self.last_wake.get()));
         self.previous_wait_began = self.wait_began;
         self.previous_wake = self.last_wake.get();
         (self.wait_began, self.wait_until) = (now, until);
     }
 
+    /// The longest turn of the event loop so far: for so long nothing was read.
+    pub fn longest_turn(&self) -> Duration {
+        self.longest_turn
+    }
+
     /// When the sockets were last polled before the present round: what is read in this round arrived later.
     pub fn last_polled_at(&self) -> Instant {
         self.previous_wait_began
--- a/crates/serve/src/stats.rs
+++ b/crates/serve/src/stats.rs
@@ -6,6 +6,7 @@
 use crate::reasons::RefusalReason;
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::time::Duration;
 
 /// The number of classes counted by name; further names are counted under `other`, so that callers can't grow
 /// the registry without bound.
@@ -42,6 +43,10 @@
     /// The number of pools whose list of upstreams is stale: changes that the balancer has to obey may be
     /// missing.
     pub lists_stale: usize,
+    /// The number of clients' connections that wait for their turn.
+    pub connections_ready: usize,
+    /// The longest turn of the event loop since the start of the process.
+    pub longest_turn: Duration,
 }
 
 /// The counters of one process.
@@ -157,6 +162,8 @@
         let _ = writeln!(out, "edge_gw.discovery_calls:{}|c", self.discovery_calls);
         let _ = writeln!(out, "edge_gw.discovery_failures:{}|c", self.discovery_failures);
         let _ = writeln!(out, "edge_gw.lists_stale:{}|g", gauges.lists_stale);
+        let _ = writeln!(out, "edge_gw.connections_ready:{}|g", gauges.connections_ready);
+        let _ = writeln!(out, "edge_gw.longest_turn_us:{}|g", gauges.longest_turn.as_micros());
         for purpose in MemoryUse::ALL {
             let _ = writeln!(out, "edge_gw.memory_bytes.{}:{}|g", purpose.name(), memory.bytes(purpose));
         }
--- a/crates/serve/src/stats_tests.rs
+++ b/crates/serve/src/stats_tests.rs
@@ -28,8 +28,17 @@
     let memory = MemoryMeter::default();
     let mut charge = memory.charge(MemoryUse::Requests);
     charge.set(700);
-    let text =
-        stats.render(Gauges { pending: 4, members: 9, members_unavailable: 2, lists_stale: 1 }, &memory);
+    let gauges = Gauges {
+        pending: 4,
+        members: 9,
+        members_unavailable: 2,
+        lists_stale: 1,
+        connections_ready: 5,
+        longest_turn: Duration::from_millis(3),
+    };
+    let text = stats.render(gauges, &memory);
+    assert_eq!(value(&text, "edge_gw.connections_ready"), Some(5));
+    assert_eq!(value(&text, "edge_gw.longest_turn_us"), Some(3000));
     assert_eq!(value(&text, "edge_gw.downstream_requests.look.completed"), Some(3));
     assert_eq!(value(&text, "edge_gw.downstream_requests.look.failed"), Some(0));
     assert_eq!(value(&text, "edge_gw.downstream_requests.book.rejected"), Some(1));
@@ -51,7 +60,7 @@
 #[test]
 fn class_names_are_bounded_in_number_and_never_split_a_line() {
     /// The number of lines that belong to no class.
-    const OTHER_LINES: usize = 19;
+    const OTHER_LINES: usize = 21;
     let mut stats = Stats::default();
     stats.record_outcome("a.b:c|d\ne", Outcome::Failed);
     for n in 0..10_000 {
