Pass long answers through as they come, instead of holding them whole

Change: the response is parsed by a state machine as it arrives (http/response.rs). response_commit.rs in the decision module says when it is committed: long, and flowing (16 KiB, or 0.1 s after the head), or out of room; also in place of a time-out or a cancellation while it still flows. From then on it passes through a window (message_memory.rs) that shrinks with the room, by quanta of a turn; no retry and no hedge follow. Length stays length; chunks and bodies until close go out in chunks, to HTTP/1.0 until close. A cut shows: no last chunk, a short length, or a reset. After the commit only 10 s without progress on either side end it. At most 32 MiB; a longer stated length counts as spoilt. A client that reads is judged by its progress. http.rs and upstreams.rs are several files each.

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -20,10 +20,14 @@
     pub max_request_bytes: usize,
     /// The longest body of a response.
     pub max_response_body_bytes: usize,
-    /// The most bytes buffered of one response.
-    pub max_response_bytes: usize,
-    /// The most bytes buffered of all the responses together that are longer than `max_request_bytes`.
-    pub max_long_responses_bytes: usize,
+    /// The longest body of a response that is read although nobody is given it, to keep its connection.
+    pub max_discarded_response_bytes: usize,
+    /// The most bytes held of all responses together that are not whole; more pass through.
+    pub max_held_responses_bytes: usize,
+    /// The work of one body that passes through in one turn of the event loop, in units of 4 KiB.
+    pub transfer_quantum_units: usize,
+    /// A body that passes through is cut off after this time without progress: no byte came, or none was read.
+    pub max_transfer_pause: Duration,
     /// The most bytes that one read takes from a socket.
     pub read_chunk_bytes: usize,
     /// The capacity that a connection's buffers retain between messages. Small, as idle connections are many.
@@ -212,9 +216,11 @@
             max_headers: 64,
             max_request_body_bytes: 64 << 10,
             max_request_bytes: 96 << 10,
-            max_response_body_bytes: 1 << 20,
-            max_response_bytes: (1 << 20) + (64 << 10),
-            max_long_responses_bytes: (inputs.memory_mb << 20) / 8,
+            max_response_body_bytes: 32 << 20,
+            max_discarded_response_bytes: 64 << 10,
+            max_held_responses_bytes: (inputs.memory_mb << 20) / 8,
+            transfer_quantum_units: 16,
+            max_transfer_pause: Duration::from_secs(10),
             read_chunk_bytes: 16 << 10,
             retained_buffer_bytes: 1 << 10,
             max_chunk_line_bytes: 4 << 10,
--- a/crates/decisions/src/balancer/message_memory.rs
+++ b/crates/decisions/src/balancer/message_memory.rs
@@ -3,9 +3,15 @@
 /// A request is taken while it needs no more than this part of the room that is left for requests. So long
 /// requests are refused first, and short ones find room until hardly any is left.
 const REQUEST_ROOM_PARTS: usize = 16;
-/// A response is read on while it takes no more than this part of the room that is left for responses. Larger
-/// than for requests, as a process with little memory also has to pass on the longest response.
+/// A response is held while it takes no more than this part of the room that is left for responses. Larger
+/// than for requests, as fewer responses than requests are held.
 const RESPONSE_ROOM_PARTS: usize = 4;
+/// The window of a response that passes through is this part of the room that is left for responses.
+const RESPONSE_WINDOW_PARTS: usize = 16;
+/// The smallest and the largest window of a response that passes through. Each response keeps moving by the
+/// smallest, whatever the others take.
+const MIN_RESPONSE_WINDOW: usize = 4 << 10;
+const MAX_RESPONSE_WINDOW: usize = 64 << 10;
 /// Bytes behind a request that awaits its response take no more than this part of the memory for requests.
 /// They may stay in the socket, so they leave room for requests.
 const READ_AHEAD_PARTS: usize = 2;
@@ -49,11 +55,23 @@
         bytes.saturating_mul(REQUEST_ROOM_PARTS) <= room
     }
 
-    /// Whether a response of which this many bytes are held, and counted in `held`, is read on and passed on.
+    /// Whether a response of which this many bytes are held, and counted in `held`, is held on until it is
+    /// whole.
     pub fn admits_response(&self, held: MemoryHeld, bytes: usize) -> bool {
         self.has_response_room(held, bytes)
     }
 
+    /// How many bytes of a response that passes through may wait to be written to its client.
+    pub fn response_window(&self, held: MemoryHeld) -> usize {
+        let room = self.responses.saturating_sub(held.responses);
+        (room / RESPONSE_WINDOW_PARTS).clamp(MIN_RESPONSE_WINDOW, MAX_RESPONSE_WINDOW)
+    }
+
+    /// Whether responses take more than their memory, so that one whose client does not read is cut off.
+    pub fn is_exceeded_by_responses(&self, held: MemoryHeld) -> bool {
+        held.responses > self.responses
+    }
+
     fn has_request_room(&self, held: MemoryHeld, bytes: usize) -> bool {
         bytes.saturating_mul(REQUEST_ROOM_PARTS) <= self.requests.saturating_sub(held.requests)
     }
--- a/crates/decisions/src/balancer/mod.rs
+++ b/crates/decisions/src/balancer/mod.rs
@@ -17,6 +17,7 @@
 mod period;
 mod pricing;
 mod request_faults;
+mod response_commit;
 mod retry;
 mod selection;
 mod slow_start;
@@ -36,6 +37,7 @@
 use period::PERIOD_WEIGHT;
 use pricing::{CALL_WEIGHT, FIRST_PRICE_US};
 use request_faults::FAULTY_SHARE;
+pub use response_commit::ResponseProgress;
 use retry::{MIN_RETRY_TOKENS, RETRY_RATIO, RETRY_SAVED_PERIODS};
 use selection::is_allowed;
 use slow_start::start_by_own_clock;
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -4,7 +4,7 @@
 //! uses no other types of the decision module than these.
 
 use crate::balancer::{Balancer, EJECT_SCORE};
-pub use crate::balancer::{MemoryHeld, MessageMemory};
+pub use crate::balancer::{MemoryHeld, MessageMemory, ResponseProgress};
 use crate::state::{HealthRecord, InFlightCall};
 use garnettally_model::{
     Action, Event, HostList, ListForm, LoadReport, LocalObservations, Names, NewRequest, Outcome,
--- a/crates/serve/src/callers/mod.rs
+++ b/crates/serve/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! The downstream side: the connections of callers, and their responses.
 
 mod listeners;
+mod passing;
 mod reading;
 
 pub use listeners::{accept, bind, AcceptResult, ListenerId};
@@ -15,6 +16,7 @@
 use garnettally_decisions::facade::RequestId;
 use garnettally_routing::budget::{exceeds_share, HolderId, Refusal, Share};
 use listeners::Listener;
+use passing::PassingBody;
 use rustc_hash::FxHashMap;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use rustix::io::Errno;
@@ -31,6 +33,8 @@
     Reading,
     /// A complete request was received, and its response is outstanding.
     Waiting(RequestId),
+    /// The body of the response passes through from an upstream.
+    Passing(PassingBody),
     /// The last response was given; what the peer still sends is discarded.
     Lingering,
 }
@@ -54,8 +58,12 @@
     output: Buffer,
     /// The number of bytes of `output` that the socket has accepted.
     written: usize,
+    /// When bytes were last written, or the present response began.
+    last_written_at: Instant,
     /// Whether the connection closes after the next response.
     close_after_response: bool,
+    /// Whether the client understands chunked bodies, as its present request says.
+    accepts_chunked: bool,
     /// How many bytes are missing of the request that is being received; `None`: its length is not known.
     missing_bytes: Option<usize>,
     /// Whether bytes may be left in the socket that the event loop has reported already.
@@ -175,6 +183,14 @@
         self.output.len() - self.written
     }
 
+    /// Ends the sending if the last response is written.
+    fn end_sending_if_done(&self) {
+        if self.state == ConnState::Lingering && self.backlog_bytes() == 0 {
+            // If this fails, the connection has ended already, which its next event tells.
+            let _ = self.socket.stream.shutdown(Shutdown::Write);
+        }
+    }
+
     /// Discards what was read and not processed.
     fn discard_input(&mut self) {
         self.input.clear(0);
@@ -207,8 +223,10 @@
             "connection" => id, "reason" => %CloseReason::PeerLeft);
         let state = conn.state;
         self.net.unwatch(conn.socket);
-        if let ConnState::Waiting(request) = state {
-            self.client_left(request);
+        match state {
+            ConnState::Waiting(request) => self.client_left(request),
+            ConnState::Passing(body) => self.transfer_caller_left(body.upstream),
+            ConnState::Reading | ConnState::Lingering => {}
         }
     }
 
@@ -248,14 +266,15 @@
     pub fn respond_to_caller(&mut self, id: ConnId, response: FinalResponse<'_>) {
         match response {
             FinalResponse::Forwarded(upstream) => {
-                let (status, headers, body) = (upstream.status, &upstream.headers[..], &upstream.body[..]);
+                let (head, body) = (&upstream.head, &upstream.body[..]);
+                let (status, headers) = (head.status, &head.headers[..]);
                 self.write_response(
                     id,
                     &OutgoingResponse {
                         status,
                         headers,
                         body,
-                        length_without_body: upstream.length_without_body,
+                        length_without_body: head.length_without_body,
                     },
                 );
             }
@@ -273,42 +292,61 @@
 
     /// Queues a response to be written; afterwards the connection closes or accepts its next request.
     fn write_response(&mut self, id: ConnId, response: &OutgoingResponse<'_>) {
-        let closing = self.shutdown.is_closing()
-            || self.admin.draining()
-            || self.callers.conns.get(&id).is_some_and(|conn| self.callers.is_listener_closed(conn));
+        let is_ending = self.ends_after_response(id);
         let Some(conn) = self.callers.conns.get_mut(&id) else { return };
-        conn.close_after_response |= closing;
+        conn.close_after_response |= is_ending;
         let close = conn.close_after_response;
         conn.output.edit(|output| http::write_response(output, response, close));
         conn.state = if conn.close_after_response { ConnState::Lingering } else { ConnState::Reading };
-        conn.since = Instant::now();
+        (conn.since, conn.last_written_at) = (Instant::now(), Instant::now());
+    }
+
+    /// Whether a connection ends after its present response, since the process or its listener does.
+    fn ends_after_response(&self, id: ConnId) -> bool {
+        self.shutdown.is_closing()
+            || self.admin.draining()
+            || self.callers.conns.get(&id).is_some_and(|conn| self.callers.is_listener_closed(conn))
     }
 
     /// Writes what a connection has to write, as far as its socket accepts it.
-    fn flush_caller(&mut self, id: ConnId) {
+    pub fn flush_caller(&mut self, id: ConnId) {
         let Some(conn) = self.callers.conns.get_mut(&id).filter(|c| !c.output.is_empty()) else { return };
         if flush(conn, &self.net.limits).is_err() {
             return self.caller_left(id);
         }
-        let has_room = |bytes| self.net.message_memory().admits_response(self.net.memory.held(), bytes);
-        if !conn.output.is_empty() && !has_room(conn.output.capacity()) {
+        let is_exceeded = self.net.message_memory().is_exceeded_by_responses(self.net.memory.held());
+        if is_exceeded && conn.backlog_bytes() > self.net.limits.max_caller_backlog_bytes {
             warn!(self.net.log, "a response that its client does not read is cut off"; "connection" => id,
                 "unread_bytes" => conn.backlog_bytes());
-            self.callers.drop_conn(&self.net, id, CloseReason::OutOfMemory);
+            self.drop_caller(id, CloseReason::OutOfMemory);
         }
     }
 
+    /// Closes a connection, with what it awaits or is given.
+    fn drop_caller(&mut self, id: ConnId, reason: CloseReason) {
+        debug!(self.net.log, "a client's connection is closed"; "connection" => id, "reason" => %reason);
+        self.caller_left(id);
+    }
+
+    /// Closes a connection whose client has read nothing for too long.
+    pub fn caller_stalled(&mut self, id: ConnId) {
+        self.drop_caller(id, CloseReason::NotReading);
+    }
+
     /// Closes the connections that have been idle or lingering for too long, and rejects requests that have
     /// been incomplete for too long.
     pub fn sweep_callers(&mut self, now: Instant) {
         let limits = &self.net.limits;
-        let (mut slow, mut expired) = (Vec::new(), Vec::new());
+        let has_stalled =
+            |c: &Conn| now.saturating_duration_since(c.last_written_at) >= limits.max_transfer_pause;
+        let (mut slow, mut expired, mut stalled) = (Vec::new(), Vec::new(), Vec::new());
         for (&id, c) in &self.callers.conns {
             let age = now.saturating_duration_since(c.since);
             match c.state {
-                ConnState::Waiting(_) => {}
-                ConnState::Lingering if c.written < c.output.len() && age < limits.caller_request_timeout => {
-                }
+                ConnState::Waiting(_) | ConnState::Passing(_) => {}
+                // While its client reads a response, however slowly, a connection is not at rest.
+                _ if c.backlog_bytes() > 0 && !has_stalled(c) => {}
+                _ if c.backlog_bytes() > 0 => stalled.push(id),
                 ConnState::Lingering if age >= limits.caller_linger_timeout => expired.push(id),
                 ConnState::Reading if c.is_idle() => {
                     let max_age = if c.had_request {
@@ -328,6 +366,9 @@
             self.reject_caller(id, HttpError(408));
             self.flush_caller(id);
         }
+        for id in stalled {
+            self.caller_stalled(id);
+        }
         for id in expired {
             self.caller_ready(id); // its next request, or its close, may have arrived just now
             match self.callers.conns.get(&id) {
@@ -440,7 +481,11 @@
 /// Writes pending output, and releases the memory of what is written. After the last response the sending
 /// side is shut down.
 fn flush(conn: &mut Conn, limits: &Limits) -> io::Result<()> {
+    let written_before = conn.written;
     crate::write_pending(&conn.socket.stream, &conn.output, &mut conn.written)?;
+    if conn.written > written_before {
+        conn.last_written_at = Instant::now();
+    }
     if conn.written == conn.output.len() && conn.written > 0 {
         conn.output.clear(limits.retained_buffer_bytes);
         conn.written = 0;
--- a/crates/serve/src/callers/reading.rs
+++ b/crates/serve/src/callers/reading.rs
@@ -81,6 +81,10 @@
         match self.callers.conns.get(&id).map(|c| c.state) {
             Some(ConnState::Reading) => self.read_requests(id, &mut budget),
             Some(ConnState::Waiting(_)) => self.read_behind_request(id, &mut budget),
+            Some(ConnState::Passing(body)) => {
+                self.upstreams.mark_transfer_ready(body.upstream);
+                self.read_behind_request(id, &mut budget);
+            }
             Some(ConnState::Lingering) => self.discard_unread(id, &mut budget),
             None => {}
         }
@@ -99,7 +103,7 @@
             }
             let Some(conn) = self.callers.conns.get_mut(&id) else { return };
             match conn.state {
-                ConnState::Waiting(_) => return self.read_behind_request(id, budget),
+                ConnState::Waiting(_) | ConnState::Passing(_) => return self.read_behind_request(id, budget),
                 ConnState::Lingering => return self.discard_unread(id, budget),
                 // The socket is full; once it is writable, the connection is handled again.
                 ConnState::Reading if conn.backlog_bytes() > self.net.limits.max_caller_backlog_bytes => {
@@ -228,6 +232,7 @@
                     (conn.sent_continue, conn.had_request, conn.since) = (false, true, Instant::now());
                     conn.missing_bytes = None;
                     conn.close_after_response = !request.keep_alive;
+                    conn.accepts_chunked = request.accepts_chunked;
                     if request.path() == "/ready" {
                         let status = if self.is_ready() { 200 } else { 503 };
                         self.write_response(id, &OutgoingResponse { status, ..OutgoingResponse::default() });
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -9,7 +9,7 @@
 use crate::reasons::RefusalReason;
 use crate::reservation::Reservation;
 use crate::stats::Outcome;
-use crate::upstreams::{Attempt, AttemptResult, Target};
+use crate::upstreams::{Answer, Attempt, AttemptResult, Target, TransferEnd};
 use crate::{ConnId, Proxy};
 use garnettally_config::file::format::LogRequests;
 use garnettally_decisions::facade::{Code, Decision, ListFreshness, Micros, PickRequest, Report, RequestId};
@@ -44,8 +44,10 @@
     attempts: u32,
     /// The number of attempts in this pool that have not ended.
     in_flight: u32,
-    /// Whether the request has had its response, or its client has left.
+    /// Whether the request has had its response, its response has begun, or its client has left.
     concluded: bool,
+    /// Whether the body of its response passes through.
+    is_transferring: bool,
     /// Whether an attempt has run, or may have run, on an upstream.
     may_have_run: bool,
     /// For how long after an attempt that may have run another may be sent: zero for unsafe classes; `None`:
@@ -113,13 +115,30 @@
     /// Marks a request as concluded: its response is determined or no longer needed. Returns the connection
     /// that awaits the response, if there is one.
     fn conclude(&mut self, number: RequestId) -> Option<ConnId> {
+        let caller = self.conclude_by_transfer(number)?;
+        if let Some(exchange) = self.open.get_mut(&number) {
+            exchange.is_transferring = false;
+            self.pending_ids.remove(&exchange.id);
+        }
+        Some(caller)
+    }
+
+    /// Marks a request as concluded by a response that has begun: it is pending until its body has ended.
+    /// Returns the connection that awaits the response, if there is one.
+    fn conclude_by_transfer(&mut self, number: RequestId) -> Option<ConnId> {
         let exchange = self.open.get_mut(&number).filter(|x| !x.concluded)?;
         exchange.concluded = true;
         exchange.request = None;
-        if exchange.caller.is_some() {
+        exchange.is_transferring = exchange.caller.is_some();
+        exchange.caller
+    }
+
+    /// Marks the end of the body of a request's response.
+    fn end_transfer(&mut self, number: RequestId) {
+        if let Some(exchange) = self.open.get_mut(&number).filter(|x| x.is_transferring) {
+            exchange.is_transferring = false;
             self.pending_ids.remove(&exchange.id);
         }
-        exchange.caller
     }
 }
 
@@ -235,6 +254,7 @@
             attempts: 0,
             in_flight: 0,
             concluded: false,
+            is_transferring: false,
             may_have_run: false,
             repeat_within: admitted.repeat_within,
             repeat_deadline: None,
@@ -376,8 +396,11 @@
             self.record_attempt_result(target, ended.code, Instant::now());
         }
         let is_copy = self.exchanges.open.get(&request).is_some_and(|x| x.caller.is_none());
-        let awaiting_caller = match ended.code {
-            Code::Ok | Code::Rejected => self.exchanges.conclude(request),
+        let awaiting_caller = match (ended.code, &ended.answer) {
+            (Code::Ok | Code::Rejected, Some(Answer::Begun(..))) => {
+                self.exchanges.conclude_by_transfer(request)
+            }
+            (Code::Ok | Code::Rejected, _) => self.exchanges.conclude(request),
             _ => None,
         };
         let answered = concluded
@@ -386,7 +409,7 @@
         debug!(self.net.log, "ended"; "request" => request.0, "attempt" => attempt, "code" => ?ended.code,
             "upstream" => ended.target.map_or("", |t| self.upstream_name(t)),
             "ms" => ended.latency.as_secs_f64() * 1e3, "held_up_ms" => ended.local_delay.as_secs_f64() * 1e3);
-        let upstream_in_flight = ended.answer.as_ref().and_then(|a| a.in_flight);
+        let upstream_in_flight = ended.answer.as_ref().and_then(|a| a.head().in_flight);
         let (code, latency, held_up) = (ended.code, ended.latency, ended.local_delay);
         let report = Report::Ended {
             request,
@@ -401,16 +424,46 @@
         if awaiting_caller.is_some() {
             self.drop_unwritten_attempts(request);
         }
-        if let (Some(caller), Some(response)) = (awaiting_caller, ended.answer) {
-            if let Some(exchange) = self.exchanges.open.get(&request) {
-                self.stats.record_outcome(&exchange.class_name, Outcome::Completed);
+        match (awaiting_caller, ended.answer) {
+            (Some(caller), Some(Answer::Whole(response))) => {
+                self.record_outcome(request, Outcome::Completed);
+                let outcome = if code == Code::Ok { "served" } else { "rejected" };
+                self.log_request(request, outcome, Some(response.head.status), ended.target, None);
+                self.respond_to_caller(caller, FinalResponse::Forwarded(&response));
             }
-            let outcome = if code == Code::Ok { "served" } else { "rejected" };
-            self.log_request(request, outcome, Some(response.status), ended.target, None);
-            self.respond_to_caller(caller, FinalResponse::Forwarded(&response));
+            (Some(caller), Some(Answer::Begun(upstream, head))) => {
+                self.begin_response(caller, request, upstream, &head)
+            }
+            (None, Some(Answer::Begun(upstream, _))) => self.drop_begun_response(upstream),
+            (_, None) | (None, Some(Answer::Whole(_))) => {}
         }
     }
 
+    /// Whether the caller of a request awaits a response, of which nothing has begun.
+    pub fn is_response_awaited(&self, request: RequestId) -> bool {
+        self.exchanges.open.get(&request).is_some_and(|x| !x.concluded && x.caller.is_some())
+    }
+
+    /// Counts the outcome of a request.
+    fn record_outcome(&mut self, request: RequestId, outcome: Outcome) {
+        if let Some(exchange) = self.exchanges.open.get(&request) {
+            self.stats.record_outcome(&exchange.class_name, outcome);
+        }
+    }
+
+    /// Handles the end of a request whose response has passed through.
+    pub fn transferred_request_ended(&mut self, request: RequestId, target: Target, end: TransferEnd) {
+        let (outcome, counted) = match end {
+            TransferEnd::Whole => ("served", Some(Outcome::Completed)),
+            TransferEnd::UpstreamFailed => ("failed", Some(Outcome::Failed)),
+            TransferEnd::CallerLeft => ("gone", None),
+        };
+        counted.into_iter().for_each(|counted| self.record_outcome(request, counted));
+        self.log_request(request, outcome, None, Some(target), None);
+        self.exchanges.end_transfer(request);
+        self.remove_if_finished(request);
+    }
+
     /// When the next decision module has to run. A module with queued inputs, or whose own timer is due, runs
     /// at the next multiple of the resolution.
     pub fn next_module_run(&self) -> Option<Instant> {
@@ -477,7 +530,12 @@
 
     /// Removes a request that is concluded and has no attempt in flight.
     fn remove_if_finished(&mut self, request: RequestId) {
-        if self.exchanges.open.get(&request).is_some_and(|x| x.concluded && x.in_flight == 0) {
+        if self
+            .exchanges
+            .open
+            .get(&request)
+            .is_some_and(|x| x.concluded && x.in_flight == 0 && !x.is_transferring)
+        {
             if let Some(exchange) = self.exchanges.open.remove(&request) {
                 self.pool_request_finished(exchange.pool);
             }
@@ -496,17 +554,23 @@
                     self.try_next_pool_or_refuse(request, retry_after)
                 }
                 Decision::Fail(request) => self.conclude_with(request, FinalResponse::Failed),
-                Decision::Cancel { request, attempt } => {
-                    if let Some(ended) = self.upstreams.cancel(&self.net, (request, attempt)) {
-                        self.attempt_ended(ended);
-                    }
-                }
+                Decision::Cancel { request, attempt } => self.cancel_attempt((request, attempt)),
                 Decision::Watch => self.start_watch(pool),
                 Decision::Log(text) => info!(self.net.log, "{}", text),
             }
         }
     }
 
+    /// Cancels an attempt, unless its response has begun and is committed instead.
+    fn cancel_attempt(&mut self, attempt: Attempt) {
+        if self.commit_if_begun(attempt) {
+            return;
+        }
+        if let Some(ended) = self.upstreams.cancel(&self.net, attempt) {
+            self.attempt_ended(ended);
+        }
+    }
+
     /// Starts an attempt of a request at an upstream, after the pin of its key, if it has one, is recorded.
     fn send_request(&mut self, request: RequestId, to: Target, timeout: Duration) {
         let Some(exchange) = self.exchanges.open.get_mut(&request) else { return };
@@ -613,7 +677,7 @@
             };
             self.stats.record_outcome(&class, counted);
             let (outcome, status) = match &response {
-                FinalResponse::Forwarded(upstream) => ("served", upstream.status),
+                FinalResponse::Forwarded(upstream) => ("served", upstream.head.status),
                 FinalResponse::Refused { .. } => ("refused", 503),
                 FinalResponse::Failed => ("failed", 502),
             };
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -336,6 +336,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now + self.net.limits.sweep_interval;
             self.sweep_callers(now);
+            self.sweep_transfers(now);
             self.upstreams.sweep(&self.net, now);
             self.update_failover(now);
             self.remove_closed_listeners();
@@ -344,6 +345,7 @@
         }
         self.resume_accepting(now);
         self.serve_ready_callers();
+        self.serve_ready_transfers();
         self.continue_shutdown(now);
         self.run_due_modules(now);
         self.exchange_with_fleet(now);
@@ -376,7 +378,7 @@
 
     /// The time until which the event loop may wait for sockets: the earliest time at which work is due.
     fn next_wake(&self) -> Option<Instant> {
-        if self.callers.has_ready() {
+        if self.callers.has_ready() || self.upstreams.has_ready_transfers() {
             return Some(Instant::now());
         }
         let wakes = [
--- a/crates/serve/src/reasons.rs
+++ b/crates/serve/src/reasons.rs
@@ -15,6 +15,10 @@
     Displaced,
     /// The client did not read its response, and the memory for responses was needed.
     OutOfMemory,
+    /// The client has read nothing of its response for too long.
+    NotReading,
+    /// The response, which nobody is given, is too long to be read for the sake of its connection.
+    TooLong,
     /// The attempt on the connection was cancelled.
     Cancelled,
     /// The attempt got no response in time, or the connection was not established in time.
@@ -33,6 +37,8 @@
             CloseReason::Finished => "finished",
             CloseReason::Displaced => "displaced by another connection",
             CloseReason::OutOfMemory => "no memory for the unread response",
+            CloseReason::NotReading => "the response is not read",
+            CloseReason::TooLong => "a response that is not needed is too long",
             CloseReason::Cancelled => "cancelled",
             CloseReason::TimedOut => "timed out",
             CloseReason::Broken => "broken",
--- a/crates/serve/src/upstreams.rs
+++ b/crates/serve/src/upstreams/mod.rs
@@ -1,6 +1,9 @@
 //! The upstream side: attempts, and the pooled connections that each carry one attempt at a time.
 
-use crate::http::{self, Request, Response};
+mod receiving;
+mod transfers;
+
+use crate::http::{Request, Response, ResponseHead};
 use crate::memory::{Buffer, Counted, MemoryUse};
 use crate::outgoing::OutgoingRequest;
 use crate::pools::PoolId;
@@ -8,9 +11,11 @@
 use crate::reservation::Reservation;
 use crate::rounds::Rounds;
 use crate::socket_errors::is_local_shortage;
-use crate::{ConnId, Net, Proxy, ReadStatus, WatchedStream};
+use crate::turns::ReadyQueue;
+use crate::{ConnId, Net, Proxy, WatchedStream};
 use garnettally_decisions::facade::{Code, RequestId, ServerId};
 use garnettally_routing::budget::{exceeds_share, HolderId, Share};
+use receiving::IncomingResponse;
 use rustc_hash::FxHashMap;
 use slog::{debug, warn};
 use std::cmp::Reverse;
@@ -19,6 +24,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use transfers::Transfer;
+pub use transfers::TransferEnd;
 
 /// An attempt: the request, and the attempt's number within that request.
 pub type Attempt = (RequestId, u32);
@@ -56,7 +63,25 @@
     /// The part of `latency` in which this process may have had an event of the attempt unread.
     pub local_delay: Duration,
     /// The response, if one was received.
-    pub answer: Option<Response>,
+    pub answer: Option<Answer>,
+}
+
+/// The response of an attempt that has ended.
+pub enum Answer {
+    /// The response is whole.
+    Whole(Response),
+    /// The response has begun, and its body passes through this connection of the upstream.
+    Begun(ConnId, ResponseHead),
+}
+
+impl Answer {
+    /// The head of the response.
+    pub fn head(&self) -> &ResponseHead {
+        match self {
+            Answer::Whole(response) => &response.head,
+            Answer::Begun(_, head) => head,
+        }
+    }
 }
 
 /// An attempt that its connection carries at present.
@@ -64,8 +89,6 @@
     attempt: Attempt,
     /// When the attempt was sent, or queued for a connection that is still being opened.
     sent_at: Instant,
-    /// Whether the request's method is HEAD, so the response has no body.
-    is_head: bool,
     /// For how long the connection may have been established before this process noticed.
     local_delay: Duration,
 }
@@ -81,10 +104,15 @@
     is_open: bool,
     /// The request of the present attempt.
     output: OutgoingRequest,
-    /// The bytes received of a response that is not complete.
+    /// The bytes received that are not parsed yet.
     input: Buffer,
-    /// The attempt that the connection carries; `None` while the connection is idle.
+    /// The response of the present attempt, as far as it has arrived.
+    response: IncomingResponse,
+    /// The attempt that the connection carries; `None` while the connection is idle, and once the body of the
+    /// response passes through.
     in_flight: Option<InFlight>,
+    /// Where the body of the response passes to; `None`: it is held, or there is none.
+    transfer: Option<Transfer>,
     /// When the last response ended, or when the connection was requested.
     idle_since: Instant,
 }
@@ -106,6 +134,8 @@
     /// Times at which an attempt may have to end, earliest first; the flag marks time-outs of opening a
     /// connection.
     deadlines: BinaryHeap<Reverse<(Instant, Attempt, bool)>>,
+    /// The connections whose body passes through and can go on.
+    ready_transfers: ReadyQueue<ConnId>,
 }
 
 impl Upstreams {
@@ -119,7 +149,7 @@
         let mut bytes_by_pool: BTreeMap<PoolId, (Share, usize)> =
             self.settings.iter().map(|(&id, t)| (id, (t.memory, 0))).collect();
         for c in self.conns.values() {
-            bytes_by_pool.entry(c.upstream.pool).or_default().1 += c.input.len();
+            bytes_by_pool.entry(c.upstream.pool).or_default().1 += c.held_bytes();
         }
         let at = bytes_by_pool.keys().position(|&p| p == pool).unwrap_or(usize::MAX);
         exceeds_share(capacity, &bytes_by_pool.into_values().collect::<Vec<_>>(), at)
@@ -163,8 +193,8 @@
     /// request.
     fn learn_idle_timeout(&mut self, net: &Net, conn: &Conn, in_flight: &InFlight) {
         let idle = in_flight.sent_at.saturating_duration_since(conn.idle_since);
-        let broke_at_once =
-            conn.input.is_empty() && in_flight.sent_at.elapsed() < net.limits.upstream_stale_break_window;
+        let broke_at_once = !conn.has_response_begun()
+            && in_flight.sent_at.elapsed() < net.limits.upstream_stale_break_window;
         if broke_at_once && idle >= net.limits.min_upstream_idle_timeout {
             let now = Instant::now();
             let idle_timeout = (idle * 3 / 4).max(net.limits.min_upstream_idle_timeout);
@@ -294,6 +324,16 @@
 }
 
 impl Conn {
+    /// Whether any byte of the response has arrived.
+    fn has_response_begun(&self) -> bool {
+        !self.input.is_empty() || self.response.reader.head().is_some()
+    }
+
+    /// The bytes that are held of the response.
+    fn held_bytes(&self) -> usize {
+        self.input.len() + self.response.body.len()
+    }
+
     /// Whether the attempt's request is not written completely, and so can't have run.
     fn is_unwritten(&self) -> bool {
         !self.is_open || !self.output.is_written()
@@ -370,7 +410,9 @@
                     is_open: false,
                     output: OutgoingRequest::new(&self.net.memory),
                     input: self.net.memory.buffer(MemoryUse::UpstreamInput),
+                    response: IncomingResponse::new(&self.net.memory, false, sent),
                     in_flight: None,
+                    transfer: None,
                     idle_since: sent,
                 };
                 self.upstreams.conns.insert(id, conn);
@@ -387,8 +429,8 @@
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
         conn.input.edit(Vec::clear);
         conn.output.begin(request, &conn.address.to_string(), timeout, &self.net.limits);
-        conn.in_flight =
-            Some(InFlight { attempt, sent_at: sent, is_head: request.method == "HEAD", local_delay: zero });
+        conn.response = IncomingResponse::new(&self.net.memory, request.method == "HEAD", sent);
+        conn.in_flight = Some(InFlight { attempt, sent_at: sent, local_delay: zero });
         if conn.is_open {
             self.upstream_ready(id, true);
         }
@@ -397,6 +439,9 @@
     /// Handles a connection that has been established, has become writable, or has data to read.
     fn upstream_ready(&mut self, id: ConnId, writable: bool) {
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
+        if conn.transfer.is_some() {
+            return self.upstreams.ready_transfers.push(id);
+        }
         if !conn.is_open {
             let failed = !matches!(conn.socket.stream.take_error(), Ok(None));
             // Until the connection is established, only an error or its becoming writable is meaningful.
@@ -428,83 +473,7 @@
         if conn.in_flight.is_some() && !was_written && conn.output.is_written() {
             self.stats.record_attempt_written();
         }
-        let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
-        let max_bytes = self.net.limits.max_response_bytes;
-        let reading = conn.input.edit(|input| self.net.read(&conn.socket.stream, input, max_bytes));
-        if conn.in_flight.is_none() {
-            // On an idle connection, any event means that it ends.
-            if reading != ReadStatus::Open || !conn.input.is_empty() {
-                self.upstreams.remove(&self.net, id, CloseReason::Broken);
-            }
-            return;
-        }
-        let is_large = conn.input.len() > self.net.limits.max_request_bytes;
-        let pool = conn.upstream.pool;
-        let is_admitted =
-            self.net.message_memory().admits_response(self.net.memory.held(), conn.input.capacity());
-        let exceeds_share =
-            is_large && self.upstreams.exceeds_memory_share(pool, self.net.limits.max_long_responses_bytes);
-        let exceeds_memory = exceeds_share || !is_admitted;
-        let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
-        if !conn.input.is_empty() {
-            let is_head = conn.in_flight.as_ref().is_some_and(|f| f.is_head);
-            let parsed =
-                http::parse_response(&conn.input, reading == ReadStatus::Ended, is_head, &self.net.limits);
-            match parsed {
-                Ok(Some(answer)) => return self.response_received(id, answer, reading == ReadStatus::Open),
-                Ok(None) if conn.input.len() <= max_bytes && !exceeds_memory => {}
-                _ if reading == ReadStatus::Broken => {}
-                _ => {
-                    let why = match parsed {
-                        Err(http::HttpError(413)) => "longer than an answer may be",
-                        Err(_) => "malformed",
-                        _ if exceeds_memory => "incomplete answers exceed their share of memory",
-                        _ => "longer than an answer may be",
-                    };
-                    let (upstream, bytes) = (conn.upstream, conn.input.len());
-                    let name = self.upstream_name(upstream);
-                    warn!(self.net.log, "an upstream's answer was not understood";
-                        "upstream" => name, "why" => why,
-                        "bytes" => bytes);
-                    return self.upstream_connection_broken(id);
-                }
-            }
-        }
-        if wrote.is_err() || reading != ReadStatus::Open {
-            self.upstream_connection_broken(id);
-        }
-    }
-
-    /// Ends an attempt with a complete response, and makes its connection idle if it can be reused.
-    fn response_received(&mut self, id: ConnId, answer: Response, stays_open: bool) {
-        let upstreams = &mut self.upstreams;
-        let Some(conn) = upstreams.conns.get_mut(&id) else { return };
-        let settings = upstreams.settings.get(&conn.upstream.pool);
-        let code = match answer.status {
-            200 => Code::Ok,
-            200..=399 if settings.is_some_and(|t| t.any_success) => Code::Ok,
-            503 | 504 if answer.declined => Code::Full,
-            // The other 4xx statuses are caused by the request, not by the upstream; these three say that a
-            // later attempt may succeed.
-            400..=499 if !matches!(answer.status, 408 | 425 | 429) => Code::Rejected,
-            _ => Code::Error,
-        };
-        let is_written = conn.output.is_written();
-        let Some(ended) =
-            conn.in_flight.as_ref().map(|f| f.result(code, &self.net.rounds).with_target(conn.upstream))
-        else {
-            return;
-        };
-        if stays_open && is_written && answer.keep_alive {
-            let upstream = conn.upstream;
-            (conn.in_flight, conn.idle_since) = (None, Instant::now());
-            conn.input.clear(self.net.limits.retained_buffer_bytes);
-            self.upstreams.connection_by_attempt.remove(&ended.attempt);
-            self.upstreams.idle.entry(upstream).or_default().push(id);
-        } else {
-            self.upstreams.remove(&self.net, id, CloseReason::UpstreamLeft);
-        }
-        self.attempt_ended(AttemptResult { answer: Some(answer), ..ended });
+        self.receive_response(id, wrote.is_err());
     }
 
     /// Removes a connection that broke or whose response can't be used, and ends its attempt.
@@ -526,6 +495,9 @@
             if connecting && self.upstreams.conns.get(&id).is_some_and(|c| c.is_open) {
                 continue;
             }
+            if self.commit_if_begun(attempt) {
+                continue;
+            }
             let Some(conn) = self.upstreams.remove(&self.net, id, CloseReason::TimedOut) else { continue };
             let code = if conn.is_unwritten() { Code::ConnectFailed } else { Code::Timeout };
             if let Some(in_flight) = &conn.in_flight {
--- a/tests/long_answers/upstream.rs
+++ b/tests/long_answers/upstream.rs
@@ -1,7 +1,7 @@
 //! An upstream that writes a long answer at a given pace, and tells how its connection ended.
 
 use crate::support::Message;
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -23,6 +23,10 @@
 pub enum Ending {
     /// The end of the body.
     Whole,
+    /// The connection is reset.
+    Reset,
+    /// Nothing: the connection stays open.
+    Silence,
 }
 
 /// An answer, and the pace at which it is written.
@@ -73,6 +77,8 @@
     pub attempts: Arc<AtomicUsize>,
     /// The number of answers that could not be written to their end.
     pub cut_off: Arc<AtomicUsize>,
+    /// The number of connections that were accepted.
+    pub connections: Arc<AtomicUsize>,
 }
 
 impl LongUpstream {
@@ -80,11 +86,18 @@
     pub fn start(choose: impl Fn(&Message) -> Answer + Send + Sync + 'static) -> LongUpstream {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let upstream = LongUpstream { address, attempts: Arc::default(), cut_off: Arc::default() };
+        let upstream = LongUpstream {
+            address,
+            attempts: Arc::default(),
+            cut_off: Arc::default(),
+            connections: Arc::default(),
+        };
+        let connections = upstream.connections.clone();
         let (attempts, cut_off, choose) =
             (upstream.attempts.clone(), upstream.cut_off.clone(), Arc::new(choose));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                connections.fetch_add(1, Ordering::SeqCst);
                 let (attempts, cut_off, choose) = (attempts.clone(), cut_off.clone(), choose.clone());
                 thread::spawn(move || {
                     let mut input = BufReader::new(stream.try_clone().unwrap());
@@ -96,7 +109,7 @@
                             return;
                         }
                         if answer.ending != Ending::Whole || answer.framing == Framing::UntilClose {
-                            return;
+                            return end(stream, answer.ending);
                         }
                     }
                 });
@@ -109,11 +122,24 @@
         self.attempts.load(Ordering::SeqCst)
     }
 
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     pub fn cut_off(&self) -> usize {
         self.cut_off.load(Ordering::SeqCst)
     }
 }
 
+/// Ends a connection as the answer says.
+fn end(mut stream: TcpStream, ending: Ending) {
+    match ending {
+        Ending::Whole => {}
+        Ending::Reset => socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap(),
+        Ending::Silence => drop(stream.read_to_end(&mut Vec::new())),
+    }
+}
+
 /// Writes an answer at its pace.
 fn write_answer(mut stream: &TcpStream, answer: &Answer) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
