Run no unsafe request again whose client has left and whose id comes again

Cause: the ids that are turned away as doubles are those that await an answer; when a client leaves, its id is forgotten at once, though an attempt may have run or may still run.

A request that was never written is free to come again. Keyed classes keep their window and key.

Not mended: the other process of an upgrade, which shares nothing.

--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod budget;
 pub mod failover;
 pub mod health;
+pub mod left_requests;
 pub mod pattern;
 pub mod pins;
 pub mod route;
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -13,7 +13,9 @@
 use crate::{ConnId, Proxy};
 use garnettally_config::file::format::LogRequests;
 use garnettally_decisions::facade::{Code, Decision, ListFreshness, Micros, PickRequest, Report, RequestId};
+use garnettally_routing::left_requests::LeftRequests;
 use garnettally_routing::pins::{PinError, PinKey};
+use garnettally_routing::stable_hash;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slog::{debug, info};
 use std::rc::Rc;
@@ -91,6 +93,8 @@
     open: FxHashMap<RequestId, Exchange>,
     /// The callers' identifiers of the requests that await a response; mirrored copies are left out.
     pending_ids: FxHashSet<String>,
+    /// The ids of unsafe requests that may have run and whose clients have left.
+    left: LeftRequests,
     /// The number given to the newest request.
     last_number: u64,
 }
@@ -183,7 +187,9 @@
         now: Instant,
     ) -> Result<(Admitted, Reservation), AdmissionError> {
         let admitted = self.admit(request, now)?;
-        if self.exchanges.pending_ids.contains(&admitted.id) {
+        let id_hash = stable_hash(self.key_seed, admitted.id.as_bytes());
+        let may_have_run = self.exchanges.left.contains(self.net.clock.unix_time(now), id_hash);
+        if may_have_run || self.exchanges.pending_ids.contains(&admitted.id) {
             return Err(AdmissionError::Rejected(HttpError(400)));
         }
         if !self.net.message_memory().admits_request(self.net.memory.held(), request.memory_bytes()) {
@@ -319,10 +325,21 @@
         if self.exchanges.conclude(request).is_some() {
             self.log_request(request, "gone", None, None, None);
             self.drop_unwritten_attempts(request);
+            self.remember_if_unsafe(request);
             self.queue_report(request, Report::ClientLeft(request));
         }
     }
 
+    /// Remembers the id of a request whose client has left, if it may have run and must not run again.
+    fn remember_if_unsafe(&mut self, request: RequestId) {
+        let Some(exchange) = self.exchanges.open.get(&request) else { return };
+        let is_unsafe = exchange.repeat_within == Some(Duration::ZERO);
+        if is_unsafe && (exchange.may_have_run || exchange.in_flight > 0) {
+            let id_hash = stable_hash(self.key_seed, exchange.id.as_bytes());
+            self.exchanges.left.insert(self.net.clock.unix_time(Instant::now()), id_hash);
+        }
+    }
+
     /// Drops the attempts of a concluded request that wait for their connection or are not written
     /// completely: nobody awaits their response. Attempts that are written completely are the module's: it
     /// cancels them only where the settings allow cancellation.
@@ -460,6 +477,9 @@
         };
         counted.into_iter().for_each(|counted| self.record_outcome(request, counted));
         self.log_request(request, outcome, None, Some(target), None);
+        if end == TransferEnd::CallerLeft {
+            self.remember_if_unsafe(request);
+        }
         self.exchanges.end_transfer(request);
         self.remove_if_finished(request);
     }
