--- a/tests/memory/clients.rs
+++ b/tests/memory/clients.rs
@@ -26,6 +26,10 @@
     Sender { body: usize, at_once: usize, answer: usize, wait_ms: u64 },
     /// Sends this much of a request and no more, until the balancer ends the connection.
     Halting { sent: usize },
+    /// Sends a head of very many short fields, until the balancer ends the connection.
+    ManyFields { fields: usize },
+    /// Sends this much of a request of 32 MB and no more, until the balancer ends the connection.
+    HaltingLong { sent: usize },
     /// Reads its answers slowly.
     SlowReader { answer: usize, bytes_per_second: usize },
     /// Asks for readiness at full speed, and reads nothing.
@@ -95,20 +99,27 @@
     }
 }
 
+/// The length that the longest requests state.
+const LONGEST_REQUEST: usize = 32 << 20;
+
 /// The number of the next request, over all clients.
 static NEXT_REQUEST: AtomicU64 = AtomicU64::new(1);
 
 /// A keyed request with this body, whose answer is to have this length. `extra` is added to the query.
 fn request(body: usize, answer: usize, extra: &str) -> Vec<u8> {
     let number = NEXT_REQUEST.fetch_add(1, Relaxed);
-    let mut bytes = format!(
+    let mut bytes = request_head(number, body, answer, extra).into_bytes();
+    bytes.resize(bytes.len() + body, b'b');
+    bytes
+}
+
+/// The head of a keyed request.
+fn request_head(number: u64, body: usize, answer: usize, extra: &str) -> String {
+    format!(
         "POST /book?len={answer}{extra} HTTP/1.1\r\nHost: app.svc\r\nReq-Id: m{number}\r\nReq-Owner: acme\r\n\
          Req-Deadline: {}\r\nIdempotency-Key: k{number}\r\nContent-Length: {body}\r\n\r\n",
         DEADLINE.as_secs()
     )
-    .into_bytes();
-    bytes.resize(bytes.len() + body, b'b');
-    bytes
 }
 
 /// One client.
@@ -182,6 +193,21 @@
                 connection.read_answer();
                 None
             }
+            Kind::ManyFields { fields } => {
+                let lines: String = (0..fields).map(|n| format!("a{n}: b\r\n")).collect();
+                let _ = connection.stream.write_all(b"GET /look HTTP/1.1\r\nHost: x\r\n");
+                let _ = connection.stream.write_all(lines.as_bytes());
+                connection.read_answer();
+                None
+            }
+            Kind::HaltingLong { sent } => {
+                let number = NEXT_REQUEST.fetch_add(1, Relaxed);
+                let head = request_head(number, LONGEST_REQUEST, 0, "");
+                let _ = connection.stream.write_all(head.as_bytes());
+                let _ = connection.stream.write_all(&vec![b'b'; sent]);
+                connection.read_answer();
+                None
+            }
             Kind::SlowReader { answer, bytes_per_second } => {
                 let _ = connection.stream.write_all(&request(100, answer, ""));
                 self.read_slowly(connection, bytes_per_second);
--- a/tests/memory/main.rs
+++ b/tests/memory/main.rs
@@ -18,7 +18,7 @@
 const CROWD: usize = 316;
 /// The longest body of a request.
 const LONGEST_BODY: usize = 64 << 10;
-/// The longest answer that is passed on.
+/// The longest answer in these scenes, but for those that say otherwise.
 const LONGEST_ANSWER: usize = 1 << 20;
 /// How long a scene goes on in the test suite.
 const SCENE_TIME: Duration = Duration::from_secs(4);
@@ -56,6 +56,13 @@
     play(&scene(32, &kinds)).assert_held();
 }
 
+/// Guards against heads of very many short fields and long requests that stop half way (68, picture c).
+#[test]
+fn many_fields_and_long_requests_that_stop_stay_within_the_memory_limit() {
+    let kinds = [Kind::ManyFields { fields: 3_500 }, Kind::HaltingLong { sent: 300_000 }];
+    play(&scene(32, &kinds.map(|kind| (CROWD / 2, kind)))).assert_held();
+}
+
 /// Guards against answers that are whole at once, and so are not counted, while their clients do not read.
 #[test]
 fn answers_that_are_not_read_stay_within_the_memory_limit() {
@@ -64,6 +71,13 @@
     play(&scene(32, &answers.map(|(count, answer)| (count, slow(answer))))).assert_held();
 }
 
+/// Guards against bodies of 32 MB on the way to hundreds of clients that read slowly (68, picture c).
+#[test]
+fn the_longest_answers_that_are_read_slowly_stay_within_the_memory_limit() {
+    let slow = Kind::SlowReader { answer: 32 << 20, bytes_per_second: 64 << 10 };
+    play(&scene(32, &[(CROWD, slow)])).assert_held();
+}
+
 /// Guards against answers to a client that goes on sending and never reads: they have no bound by themselves.
 #[test]
 fn requests_whose_answers_are_not_read_stay_within_the_memory_limit() {
