--- a/tests/long_answers/main.rs
+++ b/tests/long_answers/main.rs
@@ -5,6 +5,7 @@
 mod support;
 
 mod client;
+mod drawn;
 mod upstream;
 
 use client::{request, request_on, End, Pace, Seen, FULL_SPEED};
@@ -312,3 +313,18 @@
     let line = status.lines().find_map(|l| l.strip_prefix("RssAnon:")).unwrap_or("0");
     line.split_whitespace().next().unwrap().parse().unwrap()
 }
+
+/// By hand: LONG_SEEDS=50 LONG_FROM=100 cargo test --release --locked --test long_answers -- drawn_ --nocapture
+#[test]
+fn drawn_long_answers_are_whole_or_look_cut_up_to_the_kill() {
+    let given = |name: &str| std::env::var(name).ok().map(|v| v.parse::<u64>().expect(name));
+    let (seeds, from) = (given("LONG_SEEDS").unwrap_or(4), given("LONG_FROM").unwrap_or(1));
+    let mut broken = Vec::new();
+    for seed in from..from + seeds {
+        let (whole, faults) = drawn::play(seed);
+        println!("seed {seed}: {whole} whole, faults {faults:?}");
+        assert!(whole > 0, "seed {seed}");
+        broken.extend((!faults.is_empty()).then_some(seed));
+    }
+    assert!(broken.is_empty(), "broken seeds: {broken:?}");
+}
