--- a/tests/long_answers/drawn.rs
+++ b/tests/long_answers/drawn.rs
@@ -3,7 +3,7 @@
 
 use crate::client::{request_on, End, Pace, Seen, FULL_SPEED};
 use crate::support::{config_text, free_address, host_entry, look_request, Balancer, Discovery};
-use crate::upstream::{Answer, Ending, Framing, LongUpstream, FRAMINGS};
+use crate::upstream::{Answer, Ending, LongUpstream, FRAMINGS};
 use fastrand::Rng;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
