--- a/tests/returning_ids.rs
+++ b/tests/returning_ids.rs
@@ -5,7 +5,10 @@
 use std::thread;
 use std::time::Duration;
 use support::late::{FullQueueUpstream, LONG_DIAL_WITHOUT_CANCEL};
-use support::{host_entry, settings_with, start_with_settings, wait_until, Discovery, Reply, Upstream};
+use support::{
+    config_text, free_address, host_entry, settings_with, start_with_settings, wait_until, Balancer,
+    Discovery, Reply, Upstream, SETTINGS,
+};
 
 /// Makes the second class unsafe to repeat.
 const UNSAFE: (&str, &str) = (
@@ -55,3 +58,23 @@
     again.send(&request("waits"));
     wait_until("a connection for the second request", || upstream.has_waiting_connection());
 }
+
+#[test]
+fn an_unsafe_request_that_comes_again_at_the_other_process_of_an_upgrade_does_not_run_twice() {
+    let upstream = Upstream::start(|_| Reply::NoAnswer);
+    let discovery = Discovery::start();
+    let known = [host_entry("s0", upstream.address, 0, "SERVING")];
+    let address = free_address();
+    let text =
+        config_text(address, discovery.address, 1024, &known).replace(SETTINGS, &settings_with(&[UNSAFE]));
+    let mut old = Balancer::start_with_config(address, &text, |_| {});
+    let mut client = old.connect();
+    client.send(&request("moved"));
+    wait_until("the first attempt", || upstream.request_count() == 1);
+    drop(client);
+    let new = Balancer::start_with_config(address, &text, |_| {});
+    old.signal("TERM");
+    assert!(old.wait_for_exit().success());
+    let again = new.request(&request("moved"));
+    assert_eq!((again.status(), upstream.request_count()), (400, 1));
+}
