Take no unprocessed request for an incomplete one when a quantum ends

Found by reading, before any caller saw it: with the quantum used up, the input may hold whole requests, and a process without memory would have ended them as incomplete; and requests that wait because answers are queued were left to an event that only a full socket is sure to bring. No run showed either: the new play (60,000 pipelined requests, read late) passed with and without the change.

Change: answers are written before requests are left waiting, and input is judged as incomplete only while the quantum lasts.

--- a/crates/serve/src/callers/reading.rs
+++ b/crates/serve/src/callers/reading.rs
@@ -96,11 +96,8 @@
     /// Reads and processes requests until one awaits its response, the socket has no more bytes, or the
     /// quantum is used up. Little more than one request is read at a time; what follows stays in the socket.
     fn read_requests(&mut self, id: ConnId, budget: &mut WorkBudget) {
-        self.process_requests(id, budget);
+        self.process_while_written(id, budget);
         loop {
-            if self.callers.exceeds_backlog(id, &self.net.limits) {
-                self.flush_caller(id);
-            }
             let Some(conn) = self.callers.conns.get_mut(&id) else { return };
             match conn.state {
                 ConnState::Waiting(_) | ConnState::Passing(_) => return self.read_behind_request(id, budget),
@@ -120,8 +117,11 @@
             }
             budget.spend_bytes(received.bytes);
             if received.bytes > 0 {
-                self.process_requests(id, budget);
-                self.limit_incomplete(id);
+                self.process_while_written(id, budget);
+                // With the quantum used up, the input may hold whole requests.
+                if !budget.is_used_up() {
+                    self.limit_incomplete(id);
+                }
             }
             if received.is_socket_empty {
                 let Some(conn) = self.callers.conns.get_mut(&id) else { return };
@@ -207,6 +207,21 @@
         }
     }
 
+    /// Processes requests for as long as the socket accepts the answers. If it does not, its becoming writable
+    /// continues; what is only queued would bring no such event.
+    fn process_while_written(&mut self, id: ConnId, budget: &mut WorkBudget) {
+        loop {
+            self.process_requests(id, budget);
+            if !self.callers.exceeds_backlog(id, &self.net.limits) {
+                return;
+            }
+            self.flush_caller(id);
+            if self.callers.exceeds_backlog(id, &self.net.limits) {
+                return;
+            }
+        }
+    }
+
     /// Processes the requests in the input, as far as they are complete and the quantum allows.
     fn process_requests(&mut self, id: ConnId, budget: &mut WorkBudget) {
         while let Some(conn) = self.callers.conns.get_mut(&id) {
--- a/tests/floods/clients.rs
+++ b/tests/floods/clients.rs
@@ -184,3 +184,36 @@
         let _ = reader.join();
     }
 }
+
+/// How many requests a client sends that reads late.
+pub const LATE_READ_REQUESTS: usize = 60_000;
+
+/// Sends requests in one go on a connection with a small receive buffer, rests, then reads the answers in small
+/// pieces; returns how many came until nothing did for a second.
+pub fn read_late(address: SocketAddr, rest: Duration) -> usize {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    socket.connect(&address.into()).unwrap();
+    let mut input = TcpStream::from(socket);
+    input.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    let mut output = input.try_clone().unwrap();
+    let writer = thread::spawn(move || output.write_all(READY_REQUEST.repeat(LATE_READ_REQUESTS).as_bytes()));
+    thread::sleep(rest);
+    let (mut piece, mut answers, mut line_bytes) = ([0; 16 << 10], 0, 0);
+    while let Ok(count @ 1..) = input.read(&mut piece) {
+        // An answer ends with the only empty line that it has.
+        for byte in &piece[..count] {
+            match byte {
+                b'\n' if line_bytes == 1 => (answers, line_bytes) = (answers + 1, 0),
+                b'\n' => line_bytes = 0,
+                _ => line_bytes += 1,
+            }
+        }
+        if answers == LATE_READ_REQUESTS {
+            break;
+        }
+    }
+    let _ = input.shutdown(Shutdown::Both);
+    let _ = writer.join();
+    answers
+}
--- a/tests/floods/main.rs
+++ b/tests/floods/main.rs
@@ -106,6 +106,18 @@
     assert!(flooded.slowest_hundredth <= quiet.slowest_hundredth.mul_f64(MAX_SLOWDOWN), "{flooded}");
 }
 
+/// A client that first reads nothing, so that its answers wait in the process, gets all of them once it reads.
+#[test]
+fn all_pipelined_requests_are_answered_once_their_client_reads() {
+    let _stage = STAGE.lock().unwrap_or_else(|e| e.into_inner());
+    let discovery = Discovery::start();
+    let balancer = start_balancer(&discovery, &[host_entry("s0", start_upstream(), 0, "SERVING")]);
+    for round in 0..5 {
+        let count = clients::read_late(balancer.address, Duration::from_millis(100 * round));
+        assert_eq!(count, clients::LATE_READ_REQUESTS, "answers in round {round}");
+    }
+}
+
 #[test]
 fn usual_requests_are_answered_beside_one_client_that_pipelines_at_full_speed() {
     play(1, Flood::Ready { at_once: 1 });
