Judge an incomplete request before its bytes are taken off the quantum

Cause, traced by the reported memory (caller_input 6,533 kB, all that there is for requests): judged incomplete requests only while the quantum lasted, and a read of a known length (61 KiB) used it up by its bytes, so that such requests were never judged.

Change: the bytes are taken off after the judgement; only a quantum that requests have used up puts it off, when the input may hold more of them.

--- a/crates/serve/src/callers/reading.rs
+++ b/crates/serve/src/callers/reading.rs
@@ -115,14 +115,14 @@
                 // The input may contain a complete request, but its client no longer waits for a response.
                 return self.caller_left(id);
             }
-            budget.spend_bytes(received.bytes);
             if received.bytes > 0 {
                 self.process_while_written(id, budget);
-                // With the quantum used up, the input may hold whole requests.
+                // With the quantum used up by requests, the input may hold more of them.
                 if !budget.is_used_up() {
                     self.limit_incomplete(id);
                 }
             }
+            budget.spend_bytes(received.bytes);
             if received.is_socket_empty {
                 let Some(conn) = self.callers.conns.get_mut(&id) else { return };
                 conn.has_unread = false;
