--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -235,7 +235,7 @@
             caller_linger_timeout: Duration::from_secs(2),
             caller_discard_bytes: 64 << 10,
             quantum_units: 8,
-            turn_units: 64,
+            turn_units: 256,
             accepts_per_turn: 16,
             max_callers_buffered_bytes: (inputs.memory_mb << 20) / 8,
             max_requests_memory_bytes: (inputs.memory_mb << 20) / MEMORY_PARTS,
