Play answers whose bodies come after the aim, in tests that fail so far

Hypotheses: (1) the time of the attempt ends an answer that has begun; (2) the server broke off; (3) the memory limit; (4) the 10 s without progress. (2) is excluded by the records (the balancer closed first), (4) by 0.6 s, (3) by one request at a time at 192 MB failing as well. (1): `commits_at_end_of_attempt` asks for bytes of the body that came over 10 ms and in the last 0.5 s, so an answer of which only the head has come is ended.

--- a/tests/long_answers/main.rs
+++ b/tests/long_answers/main.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod drawn;
+mod late;
 mod upstream;
 
 use client::{request, request_on, End, Pace, Seen, FULL_SPEED};
--- a/tests/long_answers/upstream.rs
+++ b/tests/long_answers/upstream.rs
@@ -3,6 +3,7 @@
 use crate::support::Message;
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -42,6 +43,9 @@
     pub pause: Duration,
     /// The time before the head.
     pub delay: Duration,
+    /// How much of the body is written with the head, and the pause after it.
+    pub opening: usize,
+    pub body_delay: Duration,
     pub ending: Ending,
 }
 
@@ -55,6 +59,8 @@
             piece: 256 << 10,
             pause: Duration::ZERO,
             delay: Duration::ZERO,
+            opening: 0,
+            body_delay: Duration::ZERO,
             ending: Ending::Whole,
         }
     }
@@ -150,17 +156,14 @@
         Framing::UntilClose => "Connection: close\r\n".to_string(),
     };
     stream.write_all(format!("HTTP/1.1 200 OK\r\n{framing}X-Long: yes\r\n\r\n").as_bytes())?;
-    let mut position = 0;
+    if answer.opening > 0 {
+        write_piece(stream, answer.framing, 0..answer.opening)?;
+    }
+    thread::sleep(answer.body_delay);
+    let mut position = answer.opening;
     while position < answer.written {
         let end = (position + answer.piece).min(answer.written);
-        let piece: Vec<u8> = (position..end).map(body_byte).collect();
-        if answer.framing == Framing::Chunked {
-            stream.write_all(format!("{:x}\r\n", piece.len()).as_bytes())?;
-            stream.write_all(&piece)?;
-            stream.write_all(b"\r\n")?;
-        } else {
-            stream.write_all(&piece)?;
-        }
+        write_piece(stream, answer.framing, position..end)?;
         position = end;
         thread::sleep(answer.pause);
     }
@@ -169,3 +172,14 @@
     }
     Ok(())
 }
+
+/// Writes the bytes of a body at these positions.
+fn write_piece(mut stream: &TcpStream, framing: Framing, positions: Range<usize>) -> std::io::Result<()> {
+    let piece: Vec<u8> = positions.map(body_byte).collect();
+    if framing != Framing::Chunked {
+        return stream.write_all(&piece);
+    }
+    stream.write_all(format!("{:x}\r\n", piece.len()).as_bytes())?;
+    stream.write_all(&piece)?;
+    stream.write_all(b"\r\n")
+}
