Judge no begun answer by its pace: run another attempt beside it, and commit it by its aim

Cause: `commits_at_end_of_attempt` took an answer for alive if bytes of its body had come over 10 ms and in the last 0.5 s. The time of an attempt ends at the aim of the class, and an overdue attempt was cancelled for its retry; both ended an answer of which the head alone, or a first piece, had come. Class of bug: a peer's state is guessed from its pace. A late body and a spoilt one (a length that does not fit, then silence) look the same, so no pause is right.

Change: the decision module hears of the head (ResponseStarted) and decides by what else could serve the request. Where no other attempt may take its place, an answer with a stated length over 64 KiB is committed at once. Otherwise the overdue attempt goes on and another one runs beside it, within the retry budget; the first that can be passed on wins, and the begun one is committed just before the aim (Commit). An answer of up to 64 KiB that has begun is held until just before the client's time, as its last byte is the one that is timed.

--- a/crates/decisions/src/balancer/admission.rs
+++ b/crates/decisions/src/balancer/admission.rs
@@ -77,10 +77,16 @@
     pub(super) fn give_up_at(&self, request: &Request) -> Micros {
         match self.settings.tier > 0 || self.settings.classes[request.class].late_worth > 0.0 {
             true => request.expires,
-            false => self.aim_time(request) - Micros(2 * self.settings.resolution.0),
+            false => self.answer_by(request),
         }
     }
 
+    /// Returns the latest time at which an answer can be decided on so that it is given within the aim; once the
+    /// request is admitted, before it is given up.
+    pub(super) fn answer_by(&self, request: &Request) -> Micros {
+        self.aim_time(request) - Micros(2 * self.settings.resolution.0)
+    }
+
     /// Returns what a request is worth if it is sent now and takes this multiple of its expected time. Late
     /// answers earn less, and answers after the deadline nothing.
     pub(super) fn value(&self, id: RequestId, request: &Request, time_factor: f64) -> f64 {
--- a/crates/decisions/src/balancer/mod.rs
+++ b/crates/decisions/src/balancer/mod.rs
@@ -37,7 +37,8 @@
 use period::PERIOD_WEIGHT;
 use pricing::{CALL_WEIGHT, FIRST_PRICE_US};
 use request_faults::FAULTY_SHARE;
-pub use response_commit::ResponseProgress;
+use response_commit::DueCommit;
+pub use response_commit::{ResponseProgress, TimedOutResponse};
 use retry::{MIN_RETRY_TOKENS, RETRY_RATIO, RETRY_SAVED_PERIODS};
 use selection::is_allowed;
 use slow_start::start_by_own_clock;
@@ -46,8 +47,8 @@
 /// in microseconds, and shares and ratios have no unit.
 const PERIOD: Micros = Micros(200_000);
 
-/// The token of the timer for the end of a period; the timers of waiting requests and of paused keys have the
-/// next token.
+/// The token of the timer for the end of a period; the timers of waiting requests, of paused keys and of
+/// responses to be committed have the next token.
 const PERIOD_TIMER: u64 = 0;
 
 /// The balancer of one caller.
@@ -78,6 +79,8 @@
     requests: FxHashMap<RequestId, Request>,
     /// The requests that wait to be sent.
     waiting: Vec<RequestId>,
+    /// The started responses that are to be committed at some time.
+    due_commits: Vec<DueCommit>,
     /// The queues of those keys whose requests run in order.
     key_queues: FxHashMap<KeyId, KeyQueue>,
     /// The running mean of served time by class, which is the price of a request without a hint.
@@ -148,10 +151,14 @@
             Event::DiscoveryMoved => self.subscription.iter_mut().for_each(|s| s.registry_moved(self.now)),
             Event::WallClock { ahead } => self.wall_clock_ahead = ahead,
             Event::Request(new) => self.admit(new, actions),
+            Event::ResponseStarted(start) => self.response_started(start, actions),
             Event::Outcome(outcome) => self.handle_outcome(outcome, actions),
             Event::ClientLeft(id) => self.close_request(id, actions),
             Event::PeerVerdict(verdict) => self.apply_peer_verdict(verdict, actions),
-            Event::Timer(_) => self.check_overdue(actions),
+            Event::Timer(_) => {
+                self.commit_due_responses(actions);
+                self.check_overdue(actions);
+            }
         }
         let request_watch = self.subscription.as_mut().is_some_and(|s| s.poll(self.now));
         actions.extend(request_watch.then_some(Action::Watch));
--- a/crates/decisions/src/balancer/outlier_ejection.rs
+++ b/crates/decisions/src/balancer/outlier_ejection.rs
@@ -224,9 +224,13 @@
             // An attempt that hangs must not use up the time of the requests that wait for its key.
             let others_wait =
                 request.key.and_then(|k| self.key_queues.get(&k)).is_some_and(|q| q.requests.len() > 1);
-            if others_wait
-                || (may_retry && self.retry_tokens >= 1.0 && self.value(id, request, IN_TIME_FACTOR) > 0.0)
-            {
+            let is_retry_worthwhile =
+                may_retry && self.retry_tokens >= 1.0 && self.value(id, request, IN_TIME_FACTOR) > 0.0;
+            if request.attempts[attempt as usize].has_response_started {
+                if is_retry_worthwhile {
+                    self.hedge(id, actions);
+                }
+            } else if others_wait || is_retry_worthwhile {
                 actions.push(Action::Cancel { id, attempt });
             }
         }
--- a/crates/decisions/src/balancer/retry.rs
+++ b/crates/decisions/src/balancer/retry.rs
@@ -1,4 +1,4 @@
-//! Retries: which requests are sent again, under a budget for repeated work.
+//! Retries and hedged attempts: which requests are sent again, under a budget for repeated work.
 
 use super::*;
 
@@ -13,6 +13,8 @@
 const RETRY_IN_TIME_FACTOR: f64 = 0.75;
 /// The least cost of a retry in tokens, however quickly the attempt before it failed.
 const MIN_RETRY_COST: f64 = 0.2;
+/// The cost of a hedged attempt in tokens.
+const HEDGE_COST: f64 = 1.0;
 
 impl Balancer {
     /// Retries a request that can still be answered in time, or answers it finally. The budget for repeated
@@ -30,4 +32,13 @@
         self.retry_tokens -= cost;
         self.dispatch(id, actions);
     }
+
+    /// Sends another attempt of a request beside one whose response has started, if two attempts may be in
+    /// flight: the response may still be completed, so its attempt is not ended for the other one.
+    pub(super) fn hedge(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        if let PickResult::Server(server) = self.pick(id, true) {
+            self.retry_tokens -= HEDGE_COST;
+            self.send(id, server, actions);
+        }
+    }
 }
--- a/crates/decisions/src/balancer/selection.rs
+++ b/crates/decisions/src/balancer/selection.rs
@@ -190,6 +190,7 @@
             sent_at: now,
             in_flight: true,
             may_have_run: true,
+            has_response_started: false,
         });
         self.pools[server.pool].calls_in_flight += 1;
         self.stats.sent_count += 1.0;
--- a/crates/decisions/src/facade.rs
+++ b/crates/decisions/src/facade.rs
@@ -4,7 +4,7 @@
 //! uses no other types of the decision module than these.
 
 use crate::balancer::{Balancer, EJECT_SCORE};
-pub use crate::balancer::{MemoryHeld, MessageMemory, ResponseProgress};
+pub use crate::balancer::{MemoryHeld, MessageMemory, ResponseProgress, TimedOutResponse};
 use crate::state::{HealthRecord, InFlightCall};
 use garnettally_model::{
     Action, Event, HostList, ListForm, LoadReport, LocalObservations, Names, NewRequest, Outcome,
@@ -15,7 +15,8 @@
 use std::time::Duration;
 
 pub use garnettally_model::{
-    CallFailure, ClassId, Code, Effect, KeyId, ListedState, Micros, RequestId, ServerId, TenantId,
+    CallFailure, ClassId, Code, Effect, KeyId, ListedState, Micros, RequestId, ResponseStart, ServerId,
+    TenantId,
 };
 pub use garnettally_subscription::{ListFreshness, ListReport};
 
@@ -57,6 +58,9 @@
         /// Whether the request has its final answer.
         answered: bool,
     },
+    /// The head of a response that would serve its request, or reject it as faulty, has arrived; the body is
+    /// not complete.
+    ResponseStarted(ResponseStart),
     /// The client of a request has disconnected.
     ClientLeft(RequestId),
     /// The list that the balancer was started with, which may be out of date.
@@ -115,6 +119,14 @@
         /// The number of the attempt among those of its request, from 0.
         attempt: u32,
     },
+    /// Commit the response of an attempt: from now on it is passed on to the client as it arrives, and it is the
+    /// final answer. An attempt that has ended meanwhile is left as it is.
+    Commit {
+        /// The request that the attempt belongs to.
+        request: RequestId,
+        /// The number of the attempt among those of its request, from 0.
+        attempt: u32,
+    },
     /// Request a watch from discovery.
     Watch,
     /// Write this line to the log.
@@ -206,6 +218,7 @@
                     load: upstream_in_flight.map(|count| LoadReport { in_flight: Some(count) }),
                 })
             }
+            Report::ResponseStarted(start) => Event::ResponseStarted(start),
             Report::ClientLeft(request) => Event::ClientLeft(request),
             Report::PeerVerdict(verdict) => Event::PeerVerdict(verdict),
             Report::InitialList(list) => return self.handle_list(now, ListForm::Cached, &list),
@@ -336,6 +349,7 @@
                     Decision::Send { request: id, upstream: server, timeout: time(timeout) }
                 }
                 Action::Cancel { id, attempt } => Decision::Cancel { request: id, attempt },
+                Action::Commit { id, attempt } => Decision::Commit { request: id, attempt },
                 Action::Refuse { id, retry_after } => {
                     let retry_after = Some(time(retry_after)).filter(|t| !t.is_zero());
                     Decision::Refuse { request: id, retry_after }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -188,6 +188,8 @@
     pub in_flight: bool,
     /// Whether the request may have run, or may still be running, because of this attempt.
     pub may_have_run: bool,
+    /// Whether the head of a response has arrived that would be passed on to the client.
+    pub has_response_started: bool,
 }
 
 /// How often the requests of a class or tenant have failed lately, on whichever servers.
--- a/crates/decisions/tests/four_rules.rs
+++ b/crates/decisions/tests/four_rules.rs
@@ -24,6 +24,8 @@
     /// When the attempt ended by a time-out, a reset or a cancel, after which it may still run: the pause of
     /// the request's key starts at that time.
     ended_unsure_at: Option<Micros>,
+    /// Whether the balancer was told that a response has started.
+    has_response_started: bool,
 }
 
 /// A request that was handed to the balancer.
@@ -58,6 +60,11 @@
     delayed_turns: u32,
     /// The number of attempts sent to servers that are listed as removed.
     sends_to_removed: u32,
+    /// Whether responses start before they are complete.
+    starts_responses: bool,
+    /// The responses to be committed, and how many have been.
+    commits: Vec<(u64, u32)>,
+    committed: u32,
 }
 
 impl World {
@@ -109,6 +116,9 @@
             sent_attempts: 0,
             delayed_turns: 0,
             sends_to_removed: 0,
+            starts_responses: false,
+            commits: Vec::new(),
+            committed: 0,
         }
     }
 
@@ -119,6 +129,13 @@
         for action in actions {
             self.check(action);
         }
+        for (id, attempt) in std::mem::take(&mut self.commits) {
+            let request = &self.requests[&id];
+            if !request.ended && request.attempts[attempt as usize].in_flight {
+                self.committed += 1;
+                self.outcome(id, attempt as usize, Code::Ok);
+            }
+        }
     }
 
     /// Records an action in the model and checks it against the rules.
@@ -194,6 +211,7 @@
                     in_flight: true,
                     may_have_run: true,
                     ended_unsure_at: None,
+                    has_response_started: false,
                 });
                 self.sent_attempts += 1;
             }
@@ -214,7 +232,17 @@
                 self.answers[if refused { 1 } else { 2 }] += 1;
             }
             Action::Cancel { id, attempt } => {
-                assert!(self.requests[&id.0].attempts.len() > attempt as usize);
+                let request = &self.requests[&id.0];
+                let has_started = request.attempts[attempt as usize].has_response_started;
+                assert!(request.ended || !has_started, "a response that has started was cut off");
+            }
+            Action::Commit { id, attempt } => {
+                let request = &self.requests[&id.0];
+                let attempt_state = &request.attempts[attempt as usize];
+                assert!(attempt_state.in_flight && attempt_state.has_response_started);
+                assert!(!request.ended, "rule 1: a response was committed after the answer");
+                assert!(now <= request.expires, "rule 1: a response was committed too late");
+                self.commits.push((id.0, attempt));
             }
             Action::Timer { at, token } => self.timers.push((at.max(Micros(now.0 + 1)), token)),
             Action::Watch => self.watch_requested = true,
@@ -252,6 +280,18 @@
         }));
     }
 
+    /// Reports that a response has started, if its attempt is in flight.
+    fn start_response(&mut self, id: u64, attempt: usize) {
+        let lengths = [Some(1_000), Some(200_000), None];
+        let stated_length = lengths[self.rng.usize(0..lengths.len())];
+        let request = self.requests.get_mut(&id).unwrap();
+        if request.ended || std::mem::replace(&mut request.attempts[attempt].has_response_started, true) {
+            return;
+        }
+        let (id, attempt) = (RequestId(id), attempt as u32);
+        self.handle(Event::ResponseStarted(ResponseStart { id, attempt, stated_length }));
+    }
+
     /// Hands in a random list, or the failure of the watch if the balancer has requested one.
     fn change_list(&mut self) {
         let Some(form) =
@@ -391,6 +431,10 @@
                 });
                 let open: Vec<_> = open.collect();
                 if !open.is_empty() {
+                    let (id, attempt) = open[self.rng.usize(0..open.len())];
+                    if self.starts_responses && self.rng.bool() {
+                        self.start_response(id, attempt);
+                    }
                     let (id, attempt) = open[self.rng.usize(0..open.len())];
                     let codes = [Code::Ok, Code::Ok, Code::Error, Code::Full, Code::ConnectFailed];
                     let rare = [Code::Reset, Code::Cancelled, Code::Moot];
@@ -466,3 +510,22 @@
         "{delayed_turns} delayed turns, {sends_to_removed} attempts sent to removed servers"
     );
 }
+
+/// Guards against started responses that are cut off, passed on late, or passed on beside another answer.
+#[test]
+fn responses_that_start_at_random_never_break_a_safety_rule() {
+    let (mut committed, mut sent_attempts) = (0, 0);
+    for seed in 0..28 {
+        let mut world = World::new(seed, seed % 3 < 2, seed % 4 < 2);
+        world.starts_responses = true;
+        let mut next_id = 0;
+        for _ in 0..1_500 {
+            world.step(&mut next_id);
+        }
+        let end = world.now + Micros(3_000_000);
+        world.advance(end);
+        committed += world.committed;
+        sent_attempts += world.sent_attempts;
+    }
+    assert!(committed > 100, "{committed} of {sent_attempts} attempts were committed");
+}
--- a/crates/decisions/tests/ramp.rs
+++ b/crates/decisions/tests/ramp.rs
@@ -254,7 +254,7 @@
                 Decision::Refuse { request, .. } | Decision::Fail(request) => {
                     self.open_requests.remove(&request.0);
                 }
-                Decision::Wait(_) | Decision::Watch | Decision::Log(_) => {}
+                Decision::Wait(_) | Decision::Commit { .. } | Decision::Watch | Decision::Log(_) => {}
             }
         }
     }
--- a/crates/emulator/src/day/balancers.rs
+++ b/crates/emulator/src/day/balancers.rs
@@ -117,7 +117,7 @@
                     let wait = delay.draw(&mut self.random.list);
                     self.events.schedule_after(wait, Event::WatchAnswered(balancer));
                 }
-                Decision::Wait(_) | Decision::Log(_) => {}
+                Decision::Wait(_) | Decision::Commit { .. } | Decision::Log(_) => {}
             }
         }
     }
--- a/crates/emulator/src/references.rs
+++ b/crates/emulator/src/references.rs
@@ -304,8 +304,8 @@
                 self.update_list(&list);
                 Vec::new()
             }
-            // References use only their own observations.
-            Report::PeerVerdict(_) => Vec::new(),
+            // References use only their own observations, and responses come whole in the emulator.
+            Report::PeerVerdict(_) | Report::ResponseStarted(_) => Vec::new(),
             Report::ClientLeft(id) => {
                 let Some(request_state) = self.requests.get(&id) else { return Vec::new() };
                 let attempts = request_state.tried.len() as u32;
--- a/crates/emulator/tests/stale_lists/simulation.rs
+++ b/crates/emulator/tests/stale_lists/simulation.rs
@@ -360,7 +360,7 @@
                     self.processes[process].pending.remove(&request.0);
                 }
                 Decision::Watch => self.call_discovery(process),
-                Decision::Wait(_) | Decision::Cancel { .. } | Decision::Log(_) => {}
+                Decision::Wait(_) | Decision::Cancel { .. } | Decision::Commit { .. } | Decision::Log(_) => {}
             }
         }
         self.schedule_wake(process);
--- a/crates/model/src/interface.rs
+++ b/crates/model/src/interface.rs
@@ -416,6 +416,17 @@
     WatchEnded,
 }
 
+/// The start of a response: its head.
+#[derive(Clone, Copy, Debug)]
+pub struct ResponseStart {
+    /// The request that the attempt belongs to.
+    pub id: RequestId,
+    /// The number of the attempt among those of its request, from 0.
+    pub attempt: u32,
+    /// The length of the body in bytes, if the head states it.
+    pub stated_length: Option<usize>,
+}
+
 /// An event that the embedding program reports to an instance.
 #[derive(Clone, Copy, Debug)]
 pub enum Event<'a> {
@@ -445,6 +456,9 @@
     },
     /// A request has arrived.
     Request(NewRequest),
+    /// The head of a response that would serve its request, or reject it as faulty, has arrived; the body is
+    /// not complete.
+    ResponseStarted(ResponseStart),
     /// An attempt has ended.
     Outcome(Outcome),
     /// The client of a request has disconnected.
@@ -474,6 +488,14 @@
         /// The number of the attempt among those of its request, from 0.
         attempt: u32,
     },
+    /// Commit the response of an attempt: from now on it is passed on to the client as it arrives, and it is the
+    /// final answer. An attempt that has ended meanwhile is left as it is.
+    Commit {
+        /// The request that the attempt belongs to.
+        id: RequestId,
+        /// The number of the attempt among those of its request, from 0.
+        attempt: u32,
+    },
     /// Answer the client finally that the request is refused; a repeat is harmless.
     Refuse {
         /// The request to answer.
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -384,7 +384,7 @@
     }
 
     /// Queues a report for the module of a request's pool.
-    fn queue_report(&mut self, request: RequestId, report: Report) {
+    pub fn queue_report(&mut self, request: RequestId, report: Report) {
         let pool = self.exchanges.open.get(&request).map(|x| x.pool);
         if let Some(pool) = pool.and_then(|id| self.pools.get_mut(id)) {
             pool.queue_report(report, Instant::now());
@@ -456,6 +456,12 @@
         }
     }
 
+    /// When a request has to have its answer so that it reaches the client in the client's time.
+    pub fn answer_due_at(&self, request: RequestId) -> Option<Instant> {
+        let expires = self.exchanges.open.get(&request)?.pick_request.expires;
+        self.net.clock.instant(expires).checked_sub(2 * self.net.limits.resolution)
+    }
+
     /// Whether the caller of a request awaits a response, of which nothing has begun.
     pub fn is_response_awaited(&self, request: RequestId) -> bool {
         self.exchanges.open.get(&request).is_some_and(|x| !x.concluded && x.caller.is_some())
@@ -575,17 +581,15 @@
                 }
                 Decision::Fail(request) => self.conclude_with(request, FinalResponse::Failed),
                 Decision::Cancel { request, attempt } => self.cancel_attempt((request, attempt)),
+                Decision::Commit { request, attempt } => self.commit_response((request, attempt)),
                 Decision::Watch => self.start_watch(pool),
                 Decision::Log(text) => info!(self.net.log, "{}", text),
             }
         }
     }
 
-    /// Cancels an attempt, unless its response has begun and is committed instead.
+    /// Cancels an attempt.
     fn cancel_attempt(&mut self, attempt: Attempt) {
-        if self.commit_if_begun(attempt) {
-            return;
-        }
         if let Some(ended) = self.upstreams.cancel(&self.net, attempt) {
             self.attempt_ended(ended);
         }
--- a/crates/serve/src/upstreams/mod.rs
+++ b/crates/serve/src/upstreams/mod.rs
@@ -240,6 +240,11 @@
         self.deadlines.peek().map(|d| d.0 .0)
     }
 
+    /// Sets a time at which an attempt times out.
+    fn set_deadline(&mut self, attempt: Attempt, at: Instant) {
+        self.deadlines.push(Reverse((at, attempt, false)));
+    }
+
     /// Removes and closes a connection, with the attempt that it carried.
     fn remove(&mut self, net: &Net, id: ConnId, reason: CloseReason) -> Option<Conn> {
         let conn = self.conns.remove(&id)?;
@@ -424,7 +429,7 @@
         debug!(self.net.log, "sent"; "request" => attempt.0 .0, "attempt" => attempt.1,
             "upstream" => self.upstream_name(to),
             "open" => self.upstreams.conns.get(&id).is_some_and(|c| c.is_open));
-        self.upstreams.deadlines.push(Reverse((sent + timeout, attempt, false)));
+        self.upstreams.set_deadline(attempt, sent + timeout);
         self.upstreams.connection_by_attempt.insert(attempt, id);
         let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
         conn.input.edit(Vec::clear);
@@ -495,7 +500,7 @@
             if connecting && self.upstreams.conns.get(&id).is_some_and(|c| c.is_open) {
                 continue;
             }
-            if self.commit_if_begun(attempt) {
+            if !connecting && self.outlasts_timeout(id, now) {
                 continue;
             }
             let Some(conn) = self.upstreams.remove(&self.net, id, CloseReason::TimedOut) else { continue };
--- a/crates/serve/src/upstreams/receiving.rs
+++ b/crates/serve/src/upstreams/receiving.rs
@@ -6,7 +6,9 @@
 use crate::memory::{Buffer, MemoryMeter, MemoryUse};
 use crate::reasons::CloseReason;
 use crate::{ConnId, Limits, Net, Proxy, ReadStatus};
-use garnettally_decisions::facade::{Code, Micros, ResponseProgress};
+use garnettally_decisions::facade::{
+    Code, Micros, Report, ResponseProgress, ResponseStart, TimedOutResponse,
+};
 use slog::{debug, warn};
 use std::time::Instant;
 
@@ -19,6 +21,8 @@
     pub(super) head_at: Option<Instant>,
     /// When the last bytes arrived.
     pub(super) last_bytes_at: Instant,
+    /// Whether the decision module has been told of the head.
+    is_reported: bool,
 }
 
 /// What has to be done after bytes of a response have arrived.
@@ -39,6 +43,7 @@
             body: memory.buffer(MemoryUse::UpstreamInput),
             head_at: None,
             last_bytes_at: now,
+            is_reported: false,
         }
     }
 
@@ -64,15 +69,19 @@
         Ok(())
     }
 
+    /// The length of the body, if the head has arrived and states it.
+    fn stated_length(&self) -> Option<usize> {
+        self.reader.head().and_then(ResponseHead::stated_length)
+    }
+
     /// How far the response has arrived, for the decision to commit it.
-    fn progress(&self, has_room: bool, now: Instant) -> ResponseProgress {
-        let micros = |d: std::time::Duration| Micros(d.as_micros() as i64);
-        let head_at = self.head_at.unwrap_or(now);
+    fn progress(&self, has_room: bool) -> ResponseProgress {
+        let head_at = self.head_at.unwrap_or(self.last_bytes_at);
+        let flowed_for = self.last_bytes_at.saturating_duration_since(head_at);
         ResponseProgress {
-            stated_length: self.reader.head().and_then(ResponseHead::stated_length),
+            stated_length: self.stated_length(),
             received: self.reader.body_bytes(),
-            flowed_for: micros(self.last_bytes_at.saturating_duration_since(head_at)),
-            paused_for: micros(now.saturating_duration_since(self.last_bytes_at)),
+            flowed_for: Micros(flowed_for.as_micros() as i64),
             has_room,
         }
     }
@@ -151,9 +160,23 @@
             self.begin_transfer(id);
             return true;
         }
+        self.report_response_start(id);
         false
     }
 
+    /// Tells the decision module, once, that the head of a response has arrived.
+    fn report_response_start(&mut self, id: ConnId) {
+        let Some(conn) = self.upstreams.conns.get_mut(&id) else { return };
+        let Some((request, attempt)) = conn.in_flight.as_ref().map(|f| f.attempt) else { return };
+        if !std::mem::replace(&mut conn.response.is_reported, true) {
+            let stated_length = conn.response.stated_length();
+            let start = ResponseStart { id: request, attempt, stated_length };
+            debug!(self.net.log, "an answer has begun"; "connection" => id, "request" => request.0,
+                "attempt" => attempt, "length" => stated_length);
+            self.queue_report(request, Report::ResponseStarted(start));
+        }
+    }
+
     /// Drops the body of a response that nobody is given. One that is too long to be read for the sake of its
     /// connection ends the attempt. Returns whether it has.
     fn discard_body(&mut self, id: ConnId, code: Code) -> bool {
@@ -182,27 +205,46 @@
                 .exceeds_memory_share(conn.upstream.pool, self.net.limits.max_held_responses_bytes);
         let has_room =
             !exceeds_share && self.net.message_memory().admits_response(held, conn.response.body.capacity());
-        conn.response.progress(has_room, Instant::now()).commits()
+        conn.response.progress(has_room).commits()
     }
 
-    /// Commits the response of an attempt that is about to be ended, if it still arrives. Returns whether it did.
-    pub fn commit_if_begun(&mut self, attempt: Attempt) -> bool {
-        let Some(&id) = self.upstreams.connection_by_attempt.get(&attempt) else { return false };
-        let commits = self.commits_at_end_of_attempt(id);
-        if commits {
+    /// Commits the response of an attempt, as the decision module has decided.
+    pub fn commit_response(&mut self, attempt: Attempt) {
+        let Some(&id) = self.upstreams.connection_by_attempt.get(&attempt) else { return };
+        if self.has_awaited_response_started(id) {
             self.begin_transfer(id);
         }
-        commits
     }
 
-    /// Whether the response of an attempt is committed instead of having the attempt end.
-    fn commits_at_end_of_attempt(&self, id: ConnId) -> bool {
+    /// Goes on with an attempt that has timed out after its response has started, as the decision module says.
+    /// Returns whether the attempt goes on.
+    pub(super) fn outlasts_timeout(&mut self, id: ConnId, now: Instant) -> bool {
+        if !self.has_awaited_response_started(id) {
+            return false;
+        }
+        let Some(conn) = self.upstreams.conns.get(&id) else { return false };
+        let Some(attempt) = conn.in_flight.as_ref().map(|f| f.attempt) else { return false };
+        match conn.response.progress(true).at_timeout() {
+            TimedOutResponse::Commit => self.begin_transfer(id),
+            TimedOutResponse::Hold => {
+                let Some(until) = self.answer_due_at(attempt.0).filter(|&until| until > now) else {
+                    return false;
+                };
+                debug!(self.net.log, "an answer that has begun outlasts its attempt's time";
+                    "request" => attempt.0 .0, "attempt" => attempt.1, "bytes" => conn.held_bytes());
+                self.upstreams.set_deadline(attempt, until);
+            }
+        }
+        true
+    }
+
+    /// Whether the head of a response has arrived that would be passed on, and that is awaited.
+    fn has_awaited_response_started(&self, id: ConnId) -> bool {
         let Some(conn) = self.upstreams.conns.get(&id).filter(|c| c.output.is_written()) else {
             return false;
         };
-        let is_awaited = conn.in_flight.as_ref().is_some_and(|f| self.is_response_awaited(f.attempt.0))
-            && matches!(self.response_code(id), Some(Code::Ok | Code::Rejected));
-        is_awaited && conn.response.progress(true, Instant::now()).commits_at_end_of_attempt()
+        let is_awaited = conn.in_flight.as_ref().is_some_and(|f| self.is_response_awaited(f.attempt.0));
+        is_awaited && matches!(self.response_code(id), Some(Code::Ok | Code::Rejected))
     }
 
     /// The code of the attempt, as the head of the response says; `None`: the head is not complete.
--- a/src/bin/garnettally-benchlink/host.rs
+++ b/src/bin/garnettally-benchlink/host.rs
@@ -291,6 +291,8 @@
                 Outgoing::SayNo { balancer, tid: tid(id), cool_down_us: retry_after.0 }
             }
             Action::Fail { id } => Outgoing::RespondError { balancer, tid: tid(id) },
+            // Responses come whole on the simulator's wire, so none is ever reported as started.
+            Action::Commit { .. } => return,
             Action::Timer { at, token } => Outgoing::NotifyMe { balancer, due_at_us: at.0, token: *token },
             Action::Watch => Outgoing::Tail { balancer, on: true },
             Action::Log(text) => Outgoing::Emit { balancer, what: text },
--- a/tests/long_answers/late.rs
+++ b/tests/long_answers/late.rs
@@ -4,6 +4,7 @@
 use crate::support::{config_text, free_address, host_entry, look_request, Balancer, Discovery, SETTINGS};
 use crate::upstream::{Answer, Ending, Framing, LongUpstream, FRAMINGS};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::thread;
 use std::time::Duration;
 
 /// The aim of both classes.
@@ -106,35 +107,45 @@
     assert!(cut_off < attempts && (class == Class::Safe || attempts == 1), "{class:?}, {answer:?}");
 }
 
+/// Runs the same play in each framing, side by side.
+fn in_each_framing(play: impl Fn(Framing) + Sync) {
+    thread::scope(|scope| {
+        for framing in FRAMINGS {
+            let play = &play;
+            scope.spawn(move || play(framing));
+        }
+    });
+}
+
 #[test]
 fn an_unsafe_answer_whose_body_comes_after_the_aim_is_not_cut_off() {
-    for framing in FRAMINGS {
+    in_each_framing(|framing| {
         for delay_ms in [600, 1_200] {
             let answer = late(framing, REPORTED_LENGTH, 0, Duration::from_millis(delay_ms));
             assert_whole(answer, Class::Unsafe);
         }
-    }
+    });
 }
 
 #[test]
 fn a_safe_answer_whose_body_comes_after_the_aim_is_not_cut_off() {
-    for framing in FRAMINGS {
+    in_each_framing(|framing| {
         for delay_ms in [600, 1_200] {
             let answer = late(framing, REPORTED_LENGTH, 0, Duration::from_millis(delay_ms));
             assert_whole(answer, Class::Safe);
         }
-    }
+    });
 }
 
 #[test]
 fn an_answer_that_pauses_after_its_first_bytes_is_not_cut_off() {
     for class in CLASSES {
-        for framing in FRAMINGS {
+        in_each_framing(|framing| {
             for opening in [1, 1_000, 5_000, 20_000] {
                 let answer = late(framing, REPORTED_LENGTH, opening, Duration::from_millis(600));
                 assert_whole(answer, class);
             }
-        }
+        });
     }
 }
 
@@ -151,10 +162,7 @@
 #[test]
 fn a_short_answer_that_is_still_written_at_the_aim_is_not_cut_off_before_the_client_s_time() {
     for class in CLASSES {
-        for framing in FRAMINGS {
-            let answer = late(framing, 60_000, 0, Duration::from_millis(200));
-            assert_whole(answer, class);
-        }
+        in_each_framing(|framing| assert_whole(late(framing, 60_000, 0, Duration::from_millis(200)), class));
     }
 }
 
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -3,8 +3,9 @@
 
 mod support;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -452,28 +453,63 @@
     }
 }
 
-/// Guards against answers that never end, be it an endless body or endless interim answers: the client still
-/// gets an answer at its deadline, and the process goes on.
-#[test]
-fn an_endless_answer_is_cut_at_the_deadline() {
-    for (head, more) in [("HTTP/1.1 200 OK\r\n\r\n", "x"), ("", "HTTP/1.1 102 Processing\r\n\r\n")] {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        thread::spawn(move || {
-            for stream in listener.incoming() {
-                let mut stream = stream.unwrap();
+/// An upstream whose answers never end; counts the connections that it could not go on writing to.
+fn start_endless_upstream(head: &'static str, more: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let ended = Arc::new(AtomicUsize::new(0));
+    let counter = ended.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, counter) = (stream.unwrap(), counter.clone());
+            thread::spawn(move || {
                 let _ = Message::read(&mut std::io::BufReader::new(stream.try_clone().unwrap()));
                 let _ = stream.write_all(head.as_bytes());
                 while stream.write_all(more.as_bytes()).is_ok() {
                     thread::sleep(Duration::from_millis(5));
                 }
-            }
-        });
-        let discovery = Discovery::start();
-        let balancer = Balancer::start(&discovery, &[host_entry("s", address, 0, "SERVING")]);
-        let sent = Instant::now();
-        assert!(matches!(balancer.request(&look_request("0.6")).status(), 502 | 503));
-        assert!(sent.elapsed() < Duration::from_millis(1400), "{:?}", sent.elapsed());
-        assert_eq!(balancer.request(READY_REQUEST).status(), 200);
+                counter.fetch_add(1, Ordering::SeqCst);
+            });
+        }
+    });
+    (address, ended)
+}
+
+/// Guards against endless interim answers: the client still gets an answer at its deadline, and the process
+/// goes on.
+#[test]
+fn an_endless_head_is_cut_at_the_deadline() {
+    let (address, _) = start_endless_upstream("", "HTTP/1.1 102 Processing\r\n\r\n");
+    let discovery = Discovery::start();
+    let balancer = Balancer::start(&discovery, &[host_entry("s", address, 0, "SERVING")]);
+    let sent = Instant::now();
+    assert!(matches!(balancer.request(&look_request("0.6")).status(), 502 | 503));
+    assert!(sent.elapsed() < Duration::from_millis(1400), "{:?}", sent.elapsed());
+    assert_eq!(balancer.request(READY_REQUEST).status(), 200);
+}
+
+/// Guards against an endless body that is taken for a whole one, or that outlasts its client.
+#[test]
+fn an_endless_body_begins_by_the_deadline_never_looks_whole_and_ends_with_its_client() {
+    let (address, ended) = start_endless_upstream("HTTP/1.1 200 OK\r\n\r\n", "x");
+    let discovery = Discovery::start();
+    let balancer = Balancer::start(&discovery, &[host_entry("s", address, 0, "SERVING")]);
+    let sent = Instant::now();
+    let mut client = balancer.connect();
+    client.send(&look_request("0.6"));
+    let head = client.read_head().expect("an answer");
+    // Half a second after its time an answer would be lost.
+    assert!(sent.elapsed() < Duration::from_millis(600 + 500), "{:?}", sent.elapsed());
+    assert_eq!((head.status(), head.header("transfer-encoding")), (200, Some("chunked")));
+    let (mut body, mut piece) = (Vec::new(), [0; 1_000]);
+    while sent.elapsed() < Duration::from_millis(1400) {
+        let count = client.stream.read(&mut piece).unwrap();
+        assert!(count > 0, "it is not cut off while its upstream writes it");
+        body.extend_from_slice(&piece[..count]);
     }
+    assert!(!body.windows(5).any(|w| w == b"0\r\n\r\n"), "it looks whole");
+    let ended_before = ended.load(Ordering::SeqCst);
+    drop(client);
+    wait_until("the end of the upstream's connection", || ended.load(Ordering::SeqCst) > ended_before);
+    assert_eq!(balancer.request(READY_REQUEST).status(), 200);
 }
