--- a/crates/decisions/src/balancer/response_commit.rs
+++ b/crates/decisions/src/balancer/response_commit.rs
@@ -1,17 +1,18 @@
 //! When a response is committed: passed on to the client as it arrives, so that no other attempt can take its
 //! place any more.
 //!
-//! Until then a response that may be long is held, so that another attempt can run beside it and the first one
-//! that can be passed on wins. Whether it still arrives is not judged: a late body looks like a spoilt one. It
-//! is committed at the aim of its request at the latest, or earlier if no other attempt can take its place.
+//! Until then a response that may be long is held, so that another attempt can run beside it and the first
+//! one that can be passed on wins. Whether it still arrives is not judged: a late body looks like a spoilt
+//! one. It is committed at the aim of its request at the latest, or earlier if no other attempt can take its
+//! place.
 
 use super::*;
 
 /// A response up to this length is held until it is whole, so that one that breaks can be tried again. Of a
 /// longer one the client waits for the first bytes alone.
 const MAX_HELD_BYTES: usize = 64 << 10;
-/// A response without a stated length is committed before the aim only if this much of it has arrived: most of
-/// them are short.
+/// A response without a stated length is committed before the aim only if this much of it has arrived: most
+/// of them are short.
 const MIN_LONG_BYTES: usize = 4 << 10;
 /// A long response is committed once this much of it has arrived: spoilt ones rarely bring as much.
 const COMMITTED_BYTES: usize = 16 << 10;
