--- a/crates/decisions/src/balancer/admission.rs
+++ b/crates/decisions/src/balancer/admission.rs
@@ -81,8 +81,8 @@
         }
     }
 
-    /// Returns the latest time at which an answer can be decided on so that it is given within the aim; once the
-    /// request is admitted, before it is given up.
+    /// Returns the latest time at which an answer can be decided on so that it is given within the aim; once
+    /// the request is admitted, before it is given up.
     pub(super) fn answer_by(&self, request: &Request) -> Micros {
         self.aim_time(request) - Micros(2 * self.settings.resolution.0)
     }
