Draw late bodies of unsafe requests on real processes up to the kill

The new play asks more: an unsafe request gets its whole answer or, if it was sent nowhere, 503, and no answer is cut off before SIGKILL.

The two drawn plays share their loop now.

--- a/tests/long_answers/drawn.rs
+++ b/tests/long_answers/drawn.rs
@@ -2,7 +2,8 @@
 //! from what the upstream has written alone.
 
 use crate::client::{request_on, End, Pace, Seen, FULL_SPEED};
-use crate::support::{config_text, free_address, host_entry, look_request, Balancer, Discovery};
+use crate::late::{settings, unsafe_request};
+use crate::support::{config_text, free_address, host_entry, look_request, Balancer, Discovery, SETTINGS};
 use crate::upstream::{Answer, Ending, LongUpstream, FRAMINGS};
 use fastrand::Rng;
 use std::net::{SocketAddr, TcpStream};
@@ -19,6 +20,8 @@
 const SERVING_TIME: Duration = Duration::from_secs(3);
 /// From SIGTERM to SIGKILL: the longest deadline, which counts as 3 s at the most, and 0.7 s.
 const KILL_AFTER: Duration = Duration::from_millis(3_700);
+/// A request that arrives this long after SIGTERM, or earlier, is answered before SIGKILL.
+const ANSWERED_IF_BEFORE: Duration = Duration::from_millis(700);
 /// A close between requests may cross the next request, which is then unanswered at once.
 const CROSSING_TIME: Duration = Duration::from_millis(50);
 
@@ -146,3 +149,112 @@
     let faults = std::mem::take(&mut *faults.lock().unwrap());
     (whole, faults)
 }
+
+/// An answer of the unsafe class, whose head is in time and whose body may be late in every place.
+fn drawn_late_answer(seed: u64) -> Answer {
+    let mut rng = Rng::with_seed(seed);
+    let framing = FRAMINGS[rng.usize(..3)];
+    let length = rng.usize(70_000..300_000);
+    let answer = Answer::whole(framing, length).paced(length / 8 + 1, Duration::from_millis(rng.u64(..60)));
+    Answer {
+        delay: Duration::from_millis(rng.u64(..150)),
+        opening: [0, 1, 1_000, 5_000, 20_000][rng.usize(..5)],
+        body_delay: Duration::from_millis(rng.u64(..1_500)),
+        ..answer
+    }
+}
+
+/// How far the end of the process has come.
+#[derive(Default)]
+struct ProcessEnd {
+    /// Requests that arrive from now on may be open when SIGKILL comes.
+    may_be_open: AtomicBool,
+    killed: AtomicBool,
+}
+
+/// Sends unsafe requests one after the other on a connection that is kept while it stays open, until the
+/// kill; returns how many answers came whole, and those that broke a rule.
+fn ask_for_late_answers(address: SocketAddr, seed: u64, end: &ProcessEnd) -> (usize, Vec<String>) {
+    let mut rng = Rng::with_seed(seed);
+    let (mut kept, mut whole, mut faults) = (None, 0, Vec::new());
+    while !end.killed.load(Ordering::SeqCst) {
+        let Some(stream) = kept.take().or_else(|| TcpStream::connect(address).ok()) else {
+            thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        let seed = rng.u64(1..1 << 40);
+        let answer = drawn_late_answer(seed);
+        let (sent_at, may_be_open) = (Instant::now(), end.may_be_open.load(Ordering::SeqCst));
+        let Some(seen) = request_on(&stream, &unsafe_request(&seed.to_string(), 100_000), FULL_SPEED) else {
+            let is_allowed = may_be_open || sent_at.elapsed() < CROSSING_TIME;
+            faults.extend((!is_allowed).then(|| format!("answer {seed}, {answer:?}: none")));
+            continue;
+        };
+        let is_whole = seen.is_whole(answer.length);
+        whole += usize::from(is_whole);
+        // One that was sent nowhere is refused.
+        if !is_whole && seen.status != 503 && !may_be_open {
+            faults.push(format!("answer {seed}, {answer:?}: {seen:?}"));
+        }
+        let stays_open = seen.end == End::Whole && !seen.head.contains("connection: close");
+        kept = stays_open.then_some(stream);
+    }
+    (whole, faults)
+}
+
+/// Plays late answers of the unsafe class with reloads, up to the time of SIGKILL after SIGTERM; returns the
+/// number of whole answers and the faults.
+pub fn play_late(seed: u64) -> (usize, Vec<String>) {
+    let mut rng = Rng::with_seed(seed);
+    let upstreams: Vec<_> = (0..UPSTREAMS)
+        .map(|_| {
+            LongUpstream::start(|request| {
+                let path = request.start_line.split(['/', '?', ' ']).nth(3).unwrap();
+                drawn_late_answer(path.parse().unwrap())
+            })
+        })
+        .collect();
+    let hosts: Vec<String> = (upstreams.iter().enumerate())
+        .map(|(n, upstream)| host_entry(&format!("s{n}"), upstream.address, 0, "SERVING"))
+        .collect();
+    let discovery = Discovery::start();
+    let address = free_address();
+    let text = config_text(address, discovery.address, 1024, &hosts).replace(SETTINGS, &settings());
+    let mut balancer = Balancer::start_with_config(address, &text, |_| {});
+    let end = Arc::new(ProcessEnd::default());
+    let crowd = if rng.bool() { CROWD } else { 0 };
+    let threads: Vec<_> = (0..CLIENTS + crowd)
+        .map(|_| {
+            let (seed, end) = (rng.u64(..), end.clone());
+            thread::spawn(move || ask_for_late_answers(address, seed, &end))
+        })
+        .collect();
+    let serving_until = Instant::now() + SERVING_TIME;
+    while Instant::now() < serving_until {
+        thread::sleep(Duration::from_millis(rng.u64(50..900)));
+        let worth = format!("\"Worth\":{}.5", rng.u8(1..9));
+        std::fs::write(&balancer.config, text.replace("\"Worth\":2.0", &worth)).unwrap();
+        balancer.signal("HUP");
+    }
+    let told_at = Instant::now();
+    balancer.signal("TERM");
+    for _ in 0..rng.usize(..3) {
+        thread::sleep(Duration::from_millis(rng.u64(1..300)));
+        balancer.signal(["TERM", "HUP"][rng.usize(..2)]);
+    }
+    thread::sleep(ANSWERED_IF_BEFORE.saturating_sub(told_at.elapsed()));
+    end.may_be_open.store(true, Ordering::SeqCst);
+    thread::sleep(KILL_AFTER.saturating_sub(told_at.elapsed()));
+    let cut_off: usize = upstreams.iter().map(LongUpstream::cut_off).sum();
+    end.killed.store(true, Ordering::SeqCst);
+    // The process may have ended by itself.
+    let _ = balancer.child.kill();
+    let (mut whole, mut faults) = (0, Vec::new());
+    for thread in threads {
+        let (count, broken) = thread.join().unwrap();
+        whole += count;
+        faults.extend(broken);
+    }
+    faults.extend((cut_off > 0).then(|| format!("{cut_off} answers were cut off")));
+    (whole, faults)
+}
--- a/tests/long_answers/late.rs
+++ b/tests/long_answers/late.rs
@@ -46,14 +46,7 @@
         let hosts: Vec<String> = (upstreams.iter().enumerate())
             .map(|(n, upstream)| host_entry(&format!("s{n}"), upstream.address, 0, "SERVING"))
             .collect();
-        let settings = SETTINGS
-            .replace("\"SloUs\":1500000", "\"SloUs\":600000")
-            .replace("\"HardLimitUs\":6000000", "\"HardLimitUs\":1500000")
-            .replace(
-                "\"Semantics\":\"keyed\",\"SloUs\":6000000",
-                "\"Semantics\":\"unsafe\",\"SloUs\":600000",
-            );
-        let text = config_text(address, discovery.address, 1024, &hosts).replace(SETTINGS, &settings);
+        let text = config_text(address, discovery.address, 1024, &hosts).replace(SETTINGS, &settings());
         let balancer = Balancer::start_with_config(address, &text, |_| {});
         Play { upstreams, _discovery: discovery, balancer }
     }
@@ -63,12 +56,7 @@
     fn ask(&self, class: Class, cost: u32) -> Seen {
         let text = match class {
             Class::Safe => look_request("1.5").replace("Req-Cost: 2000", &format!("Req-Cost: {cost}")),
-            Class::Unsafe => {
-                let id = NEXT_ID.fetch_add(1, Ordering::SeqCst);
-                format!(
-                    "POST /book HTTP/1.1\r\nHost: app.svc\r\nReq-Id: u{id}\r\nReq-Deadline: 1.5\r\nReq-Cost: {cost}\r\nContent-Length: 2\r\n\r\nhi"
-                )
-            }
+            Class::Unsafe => unsafe_request("part", cost),
         };
         request(self.balancer.address, &text, FULL_SPEED).expect("an answer")
     }
@@ -82,6 +70,22 @@
     }
 }
 
+/// A request of the unsafe class for this part, with a cost in microseconds.
+pub fn unsafe_request(part: &str, cost: u32) -> String {
+    let id = NEXT_ID.fetch_add(1, Ordering::SeqCst);
+    format!(
+        "POST /book/{part} HTTP/1.1\r\nHost: app.svc\r\nReq-Id: u{id}\r\nReq-Deadline: 1.5\r\nReq-Cost: {cost}\r\nContent-Length: 2\r\n\r\nhi"
+    )
+}
+
+/// The settings with an aim of 0.6 s for both classes, and the second one unsafe to repeat.
+pub fn settings() -> String {
+    SETTINGS
+        .replace("\"SloUs\":1500000", "\"SloUs\":600000")
+        .replace("\"HardLimitUs\":6000000", "\"HardLimitUs\":1500000")
+        .replace("\"Semantics\":\"keyed\",\"SloUs\":6000000", "\"Semantics\":\"unsafe\",\"SloUs\":600000")
+}
+
 /// Near what the upstreams take until their heads.
 const LONG_COST: u32 = 140_000;
 /// An attempt at this cost is overdue long before the aim.
--- a/tests/long_answers/main.rs
+++ b/tests/long_answers/main.rs
@@ -312,17 +312,27 @@
     line.split_whitespace().next().unwrap().parse().unwrap()
 }
 
-/// By hand: LONG_SEEDS=50 LONG_FROM=100 cargo test --release --locked --test long_answers -- drawn_ --nocapture
-#[test]
-fn drawn_long_answers_are_whole_or_look_cut_up_to_the_kill() {
+/// Plays the seeds that the environment gives (LONG_SEEDS of them, from LONG_FROM on), else four.
+fn play_seeds(play: impl Fn(u64) -> (usize, Vec<String>)) {
     let given = |name: &str| std::env::var(name).ok().map(|v| v.parse::<u64>().expect(name));
     let (seeds, from) = (given("LONG_SEEDS").unwrap_or(4), given("LONG_FROM").unwrap_or(1));
     let mut broken = Vec::new();
     for seed in from..from + seeds {
-        let (whole, faults) = drawn::play(seed);
+        let (whole, faults) = play(seed);
         println!("seed {seed}: {whole} whole, faults {faults:?}");
         assert!(whole > 0, "seed {seed}");
         broken.extend((!faults.is_empty()).then_some(seed));
     }
     assert!(broken.is_empty(), "broken seeds: {broken:?}");
 }
+
+/// By hand: LONG_SEEDS=50 LONG_FROM=100 cargo test --release --locked --test long_answers -- drawn_ --nocapture
+#[test]
+fn drawn_long_answers_are_whole_or_look_cut_up_to_the_kill() {
+    play_seeds(drawn::play);
+}
+
+#[test]
+fn drawn_late_bodies_of_unsafe_requests_are_not_cut_off_up_to_the_kill() {
+    play_seeds(drawn::play_late);
+}
