Write no hedged attempt after the window of its key

What callers would see: a keyed request runs twice.

Shown by the test that comes with this, which failed before: the hedge of a keyed request with a window of 2.6 s got its connection some 3.2 s after the first attempt, and its POST was written.

Change: an attempt that is sent beside another one is limited by the window from the first attempt on.

--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -56,6 +56,8 @@
     /// For how long after an attempt that may have run another may be sent: zero for unsafe classes; `None`:
     /// without limit.
     repeat_within: Option<Duration>,
+    /// When the first attempt was sent.
+    first_sent_at: Option<Instant>,
     /// When the time of `repeat_within` ends; `None`: no attempt can have run yet, or there is no limit.
     repeat_deadline: Option<Instant>,
     /// The pools that may get the request, in order, if this pool refuses it and no attempt can have run.
@@ -79,6 +81,21 @@
     earlier_attempts: u32,
 }
 
+impl Exchange {
+    /// Lets no attempt be written from this time on.
+    fn limit_repeats(&mut self, deadline: Instant) {
+        self.repeat_deadline = Some(self.repeat_deadline.map_or(deadline, |earlier| earlier.min(deadline)));
+    }
+
+    /// Limits the time of an attempt that is sent now beside another one, which may be running.
+    fn limit_hedge(&mut self, now: Instant) {
+        let first_sent_at = *self.first_sent_at.get_or_insert(now);
+        if let Some(within) = self.repeat_within.filter(|_| self.in_flight > 0) {
+            self.limit_repeats(first_sent_at + within);
+        }
+    }
+}
+
 /// An input that is queued for a pool's decision module until its next run.
 pub enum ModuleInput {
     /// A request that needs an upstream.
@@ -285,6 +302,7 @@
             is_transferring: false,
             may_have_run: false,
             repeat_within: admitted.repeat_within,
+            first_sent_at: None,
             repeat_deadline: None,
             fallback_pools: admitted.fallback_pools,
             pin: admitted.pin,
@@ -423,9 +441,7 @@
         exchange.may_have_run |= !never_ran;
         if let Some(within) = exchange.repeat_within.filter(|_| !never_ran) {
             let deadline = Instant::now() + within;
-            let deadline = deadline.checked_sub(ended.latency).unwrap_or(deadline);
-            exchange.repeat_deadline =
-                Some(exchange.repeat_deadline.map_or(deadline, |earlier| earlier.min(deadline)));
+            exchange.limit_repeats(deadline.checked_sub(ended.latency).unwrap_or(deadline));
         }
         let concluded = exchange.concluded;
         if let Some((key, _)) = exchange.pin.filter(|_| never_ran) {
@@ -621,6 +637,7 @@
     fn send_request(&mut self, request: RequestId, to: Target, timeout: Duration) {
         let Some(exchange) = self.exchanges.open.get_mut(&request) else { return };
         let attempt = (request, exchange.attempts);
+        exchange.limit_hedge(Instant::now());
         (exchange.attempts, exchange.in_flight) = (exchange.attempts + 1, exchange.in_flight + 1);
         let zero = Duration::ZERO;
         let unsent = |code| AttemptResult {
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -76,6 +76,53 @@
     assert_eq!(client.read_answer().expect("an answer").status(), 502, "the first attempt may have run");
 }
 
+/// Guards against a second effect of a keyed request whose repeat was decided on beside an answer that had
+/// begun, and got its connection after the window.
+#[test]
+fn a_hedge_whose_connection_is_established_after_the_key_window_is_not_written() {
+    let late = FullQueueUpstream::start();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let first = listener.local_addr().unwrap();
+    let begun = Arc::new(AtomicUsize::new(0));
+    let of_first = begun.clone();
+    thread::spawn(move || {
+        let mut open = Vec::new();
+        for mut stream in listener.incoming().flatten() {
+            let _ = Message::read(&mut std::io::BufReader::new(stream.try_clone().unwrap()));
+            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nx").unwrap();
+            of_first.fetch_add(1, Ordering::SeqCst);
+            open.push(stream);
+        }
+    });
+    let discovery = Discovery::start();
+    let settings = settings_with(&[
+        ("\"DialTimeoutUs\":250000", "\"DialTimeoutUs\":5000000"),
+        ("\"WindowUs\":10000000", "\"WindowUs\":2600000"),
+    ]);
+    let hosts = [host_entry("f", first, 0, "SERVING"), host_entry("l", late.address, 0, "SERVING")];
+    let balancer = start_with_settings(&discovery, &hosts, &settings);
+    let mut waiting = None;
+    for _ in 0..20 {
+        let mut client = balancer.connect();
+        let before = begun.load(Ordering::SeqCst);
+        // By its cost an attempt is overdue after 2.2 s, so that a SYN is sent again before the hedge is.
+        client.send(&book_request("6", "x").replace("Idempotency", "Req-Cost: 250000\r\nIdempotency"));
+        wait_until("an attempt", || begun.load(Ordering::SeqCst) > before || late.has_waiting_connection());
+        if begun.load(Ordering::SeqCst) > before && !late.has_waiting_connection() {
+            wait_until("its hedge", || late.has_waiting_connection());
+            waiting = Some(client);
+            break;
+        }
+        drop(client);
+        wait_until("no attempt", || !late.has_waiting_connection());
+    }
+    let mut client = waiting.expect("a hedge that waits for its connection");
+    thread::sleep(Duration::from_millis(500)); // the window of the key passes
+    let received = received_text(&late.accept_connections());
+    assert!(!received.contains("POST"), "{received}");
+    assert_eq!(client.read_answer().expect("an answer").status(), 502, "the first attempt may have run");
+}
+
 /// Checks that a request whose attempt waits for its connection is answered by another upstream, well before
 /// its deadline and without a byte sent to the first one, once a list with `entries_of_late` and the other
 /// upstream arrives. `before_list` runs before the list is written.
