Write the head of a committed answer at once, not with the first bytes of its body

Cause: `begin_response` queued the head and left the write to the first piece of the body.

Found by a trial with the program alone, which looked for the cause of the one failure of late::an_answer_that_pauses. The tests asked for the first byte in the client's time only: now for the aim and 0.15 s (a balancer may be held up so long), and the drawn play for the client's time.

The trial also stopped the process from 0.1 or 0.2 s to 0.65 s, over the head's arrival and the aim: 3 of 3 answers came whole, so being held up over the aim is not what failed there.

--- a/crates/serve/src/callers/passing.rs
+++ b/crates/serve/src/callers/passing.rs
@@ -60,6 +60,8 @@
         (conn.state, conn.last_written_at) =
             (ConnState::Passing(PassingBody { upstream, framing }), Instant::now());
         self.start_transfer(upstream, request, id, head.keep_alive);
+        // The body may come late, and the client waits for the first bytes.
+        self.flush_caller(id);
     }
 
     /// Ends a body that is whole; the connection closes or accepts its next request.
--- a/tests/long_answers/drawn.rs
+++ b/tests/long_answers/drawn.rs
@@ -2,7 +2,7 @@
 //! from what the upstream has written alone.
 
 use crate::client::{request_on, End, Pace, Seen, FULL_SPEED};
-use crate::late::{settings, unsafe_request};
+use crate::late::{settings, unsafe_request, CLIENT_TIME};
 use crate::support::{config_text, free_address, host_entry, look_request, Balancer, Discovery, SETTINGS};
 use crate::upstream::{Answer, Ending, LongUpstream, FRAMINGS};
 use fastrand::Rng;
@@ -208,6 +208,8 @@
             break;
         }
         seen_by_client.whole += usize::from(is_whole);
+        let is_late = seen.first_byte_after > CLIENT_TIME;
+        seen_by_client.faults.extend(is_late.then(|| format!("answer {seed}, {answer:?}: late, {seen:?}")));
         // One that was sent nowhere is refused.
         let had_begun = sent_at.elapsed() > answer.delay + HEAD_SLACK;
         if may_be_open && seen.status == 502 && !had_begun {
--- a/tests/long_answers/late.rs
+++ b/tests/long_answers/late.rs
@@ -10,7 +10,9 @@
 /// The aim of both classes.
 const AIM: Duration = Duration::from_millis(600);
 /// The client's time for a request.
-const CLIENT_TIME: Duration = Duration::from_millis(1_500);
+pub const CLIENT_TIME: Duration = Duration::from_millis(1_500);
+/// A balancer may be held up for this long between its clock and its write.
+const HELD_UP: Duration = Duration::from_millis(150);
 /// The length of an answer that was cut off at the operators (73, evidence 1).
 const REPORTED_LENGTH: usize = 147_223;
 const LONGEST_BODY: usize = 32 << 20;
@@ -105,7 +107,7 @@
     let seen = play.ask(class, LONG_COST);
     assert!(seen.is_whole(answer.length), "{class:?}, {answer:?}: {seen:?}");
     if answer.length > LONGEST_TIMED_BODY {
-        assert!(seen.first_byte_after < CLIENT_TIME, "{class:?}, {answer:?}: {seen:?}");
+        assert!(seen.first_byte_after < AIM + HELD_UP, "{class:?}, {answer:?}: {seen:?}");
     }
     let (attempts, cut_off) = (play.attempts(), play.cut_off());
     assert!(cut_off < attempts && (class == Class::Safe || attempts == 1), "{class:?}, {answer:?}");
